--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Installs what is needed, builds, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install.sh
+scripts/build.sh
+ctest --test-dir build --output-on-failure
--- /dev/null
+++ b/src/protocol/coordinatormessages.cpp
@@ -0,0 +1,1 @@
+#include "coordination/coordinator.h"
--- /dev/null
+++ b/src/state/configuration.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "state/identifiers.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sapphirecove::state {
+
+/** Rules of one tier. */
+struct TierRule
+{
+    Tier tier = 0;
+    std::string name;
+    Duration defaultDeadline{}; /**< deadline of a request that names none, from its arrival */
+};
+
+/** Customer and its limits. */
+struct Customer
+{
+    CustomerId id;
+    std::vector<std::string> keyHashes; /**< lower-case hexadecimal SHA-256 of each bearer key */
+    double weight = 1.0; /**< fair share relative to other customers of the same tier */
+    Tier highestTier = 0; /**< most urgent tier that the customer may ask for */
+    Tier defaultTier = 0;
+    double requestsPerSecond = 0; /**< 0 means unlimited */
+    int maxConcurrent = 0; /**< requests accepted and not finished on one host; 0 means unlimited */
+};
+
+/** What a pool serves. */
+enum class PoolKind {
+    Model,
+    Service,
+};
+
+/** Rule for calls of a plain service whose method and path prefix match. */
+struct Route
+{
+    std::string method; /**< HTTP method, or "*" */
+    std::string pathPrefix;
+    bool idempotent = true;
+    bool requireKey = false; /**< reject a call without Idempotency-Key */
+    std::optional<Tier> tier;
+};
+
+/** Capacity assumed for a target until its own answers show its speed. */
+struct TargetCapacity
+{
+    int streams = 8; /**< answers in progress at once */
+    int prefillTokens = 16384; /**< prompt tokens sent and not yet prefilled */
+    double prefillTokensPerSecond = 8000;
+    double decodeTokensPerSecond = 40; /**< per stream */
+    Duration serviceTime = std::chrono::milliseconds(50); /**< of one call, plain services only */
+};
+
+/** Targets of one model or one plain service. */
+struct Pool
+{
+    PoolId id;
+    PoolKind kind = PoolKind::Model;
+    std::string model; /**< value of "model" in chat-completions calls; model pools only */
+    VersionName version; /**< version in force when no change is declared */
+    std::vector<Route> routes; /**< service pools only; the longest matching prefix applies */
+    TargetCapacity capacity;
+};
+
+/** Target as the configuration declares it. */
+struct Target
+{
+    TargetId id;
+    PoolId pool;
+    std::string address; /**< IP address */
+    std::uint16_t port = 0;
+    std::string failureDomain;
+    std::optional<TargetCapacity> capacity; /**< replaces the pool's */
+    bool checksFencing = true; /**< refuses an order with an old fencing number */
+};
+
+/** Declared move of a pool to another version. */
+struct VersionChange
+{
+    std::string id;
+    PoolId pool;
+    VersionName from;
+    VersionName to;
+    Time deadline{}; /**< the change is done or undone by then */
+};
+
+/** Limits on queues and sizes. */
+struct Limits
+{
+    int queueLength = 2000; /**< asks waiting at one arbiter */
+    std::int64_t queueBytes = std::int64_t{ 64 } * 1024 * 1024; /**< request bodies held by one host */
+    std::int64_t maxBodyBytes = std::int64_t{ 8 } * 1024 * 1024; /**< one request body */
+    Duration claimTimeout = std::chrono::seconds(2); /**< wait for a claim to be read back from the log */
+};
+
+/** Merged and checked configuration. */
+struct Configuration
+{
+    std::map<Tier, TierRule> tiers;
+    std::map<std::string, std::string> failureDomains; /**< failure domain to region */
+    std::map<CustomerId, Customer> customers;
+    std::map<PoolId, Pool> pools;
+    std::map<TargetId, Target> targets;
+    std::vector<VersionChange> changes;
+    Limits limits;
+};
+
+} // namespace sapphirecove::state
--- /dev/null
+++ b/src/state/hostlist.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "state/identifiers.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sapphirecove::state {
+
+/** State of a machine in the platform's list. */
+enum class ListedState {
+    Live,
+    Leaving,
+};
+
+/** Entry host in the platform's list. */
+struct ListedHost
+{
+    HostId id;
+    std::string address;
+    std::uint16_t peerPort = 0;
+    std::string region;
+    std::string failureDomain;
+    ListedState state = ListedState::Live;
+};
+
+/** Target in the platform's list; its address and pool stand in the configuration. */
+struct ListedTarget
+{
+    TargetId id;
+    ListedState state = ListedState::Live;
+};
+
+/** One answer of the platform's host list; it lags behind the truth by seconds. */
+struct HostList
+{
+    std::vector<ListedHost> hosts;
+    std::vector<ListedTarget> targets;
+};
+
+} // namespace sapphirecove::state
--- /dev/null
+++ b/src/state/time.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace sapphirecove::state {
+
+/** Span of time in microseconds. */
+using Duration = std::chrono::microseconds;
+
+/**
+ * Clock type of all times in the product: microseconds since the Unix epoch.
+ *
+ * It has no now(): code that decides takes the present time as an argument, and only the transport layer reads a
+ * system clock.
+ */
+struct Clock
+{
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<Clock, duration>; // NOLINT(readability-identifier-naming)
+    static constexpr bool is_steady = false; // NOLINT(readability-identifier-naming)
+};
+
+/** Point in time, microseconds since the Unix epoch. */
+using Time = Clock::time_point;
+
+/** Returns the time @p value microseconds after the Unix epoch. */
+constexpr Time timeFromMicroseconds(std::int64_t value)
+{
+    return Time(Duration(value));
+}
+
+/** Returns the microseconds between the Unix epoch and @p time. */
+constexpr std::int64_t toMicroseconds(Time time)
+{
+    return time.time_since_epoch().count();
+}
+
+/** Returns @p duration in seconds. */
+constexpr double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/** Returns the duration closest to @p seconds, truncated to microseconds. */
+constexpr Duration durationFromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace sapphirecove::state
