--- /dev/null
+++ b/src/transport/httpclient.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "state/failure.h"
+#include "state/time.h"
+#include "transport/watchdog.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/verb.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace sapphirecove::transport {
+
+/** Address of another process. */
+struct Endpoint
+{
+    std::string address; /**< IP address */
+    std::uint16_t port = 0;
+
+    bool operator==(const Endpoint &) const = default;
+};
+
+/** Returns "address:port" as it stands in log lines and the Host field. */
+std::string toString(const Endpoint &endpoint);
+
+/** Call of another process with a whole body. */
+struct HttpCall
+{
+    boost::beast::http::verb method = boost::beast::http::verb::get;
+    std::string path;
+    std::string body;
+    std::string bearerKey; /**< empty for none */
+};
+
+/**
+ * Outcome of a call: an answer or a failure. It isn't a state::Result, because LEAF keeps error objects for the
+ * current scope of the current thread and a coroutine leaves that scope whenever it waits.
+ */
+struct HttpOutcome
+{
+    std::optional<state::Failure> failure;
+    int status = 0;
+    std::string body;
+
+    /** Returns whether there is an answer with a 2xx status. */
+    bool ok() const
+    {
+        return !failure && status / 100 == 2;
+    }
+};
+
+/**
+ * Client of one address with one keep-alive connection. Calls must not overlap. A call is never repeated: a kept
+ * connection is tested for a close by the other side before it is used again.
+ */
+class HttpClient
+{
+public:
+    HttpClient(const boost::asio::any_io_executor &executor, Endpoint endpoint);
+
+    /** Sends @p call and reads the whole answer within @p limit, which includes the time to connect. */
+    boost::asio::awaitable<HttpOutcome> send(HttpCall call, state::Duration limit);
+
+    /** Aborts the running call and closes the connection. */
+    void close();
+
+    const Endpoint &endpoint() const
+    {
+        return m_endpoint;
+    }
+
+private:
+    boost::asio::awaitable<HttpOutcome> attempt(HttpCall call);
+    boost::asio::awaitable<boost::system::error_code> ensureConnected();
+    HttpOutcome failed(const char *step, const boost::system::error_code &error);
+
+    Endpoint m_endpoint;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    Watchdog m_watchdog;
+};
+
+} // namespace sapphirecove::transport
--- /dev/null
+++ b/src/transport/httpserver.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "state/time.h"
+#include "transport/listener.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+namespace sapphirecove::transport {
+
+using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+/** Bounds of a server for other hosts or operators. */
+struct HttpServerLimits
+{
+    std::size_t connections = 1024;
+    std::uint32_t headerBytes = 16384;
+    std::uint64_t bodyBytes = std::uint64_t{ 64 } * 1024 * 1024;
+    state::Duration receiveLimit = std::chrono::seconds(10); /**< for one whole request */
+    state::Duration idleLimit = std::chrono::seconds(60); /**< between two requests */
+};
+
+/** HTTP server for whole requests and answers: peers and operators. It must outlive its context's thread. */
+class HttpServer
+{
+public:
+    using Handler = std::function<boost::asio::awaitable<HttpResponse>(const HttpRequest &)>;
+
+    HttpServer(std::unique_ptr<Listener> listener, HttpServerLimits limits, Handler handler);
+
+    /** Starts to accept connections. */
+    void start();
+
+    /** Port that is listened on. */
+    std::uint16_t port() const
+    {
+        return m_listener->port();
+    }
+
+private:
+    boost::asio::awaitable<void> serve(boost::asio::ip::tcp::socket socket);
+
+    std::unique_ptr<Listener> m_listener;
+    HttpServerLimits m_limits;
+    Handler m_handler;
+    std::size_t m_connections = 0;
+};
+
+/** Returns an answer to @p request with a body. */
+HttpResponse makeResponse(const HttpRequest &request,
+                          boost::beast::http::status status,
+                          std::string_view mediaType,
+                          std::string body);
+
+/** Returns the key after "Bearer " in the Authorization field, or an empty view. */
+std::string_view bearerKey(const boost::beast::http::fields &fields);
+
+/** Returns a field's value, or an empty view. */
+std::string_view fieldValue(const boost::beast::http::fields &fields, std::string_view name);
+
+} // namespace sapphirecove::transport
--- /dev/null
+++ b/src/transport/sockets.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace sapphirecove::transport {
+
+/** Returns whether @p socket is open, its peer has not closed it and no unexpected byte has arrived. */
+bool isIdleAndOpen(boost::asio::ip::tcp::socket &socket);
+
+/**
+ * Closes a connection whose peer may still be sending: ends the sending side and discards a bounded amount of input
+ * first, because closing with unread input resets the connection and can destroy the answer on its way.
+ */
+boost::asio::awaitable<void> closeGently(boost::asio::ip::tcp::socket &socket);
+
+} // namespace sapphirecove::transport
--- /dev/null
+++ b/src/transport/watchdog.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "state/time.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace sapphirecove::transport {
+
+/**
+ * Time limit of an operation: calls a function, usually one that cancels a socket, unless it is disarmed in time.
+ * Belongs to one thread. The function is never called after destruction.
+ */
+class Watchdog
+{
+public:
+    Watchdog(const boost::asio::any_io_executor &executor, std::function<void()> onExpiry);
+    ~Watchdog();
+
+    Watchdog(const Watchdog &) = delete;
+    Watchdog &operator=(const Watchdog &) = delete;
+
+    /** Starts the time limit again. */
+    void arm(state::Duration limit);
+
+    /** Ends the time limit. */
+    void disarm();
+
+    /** Returns whether the last time limit passed. */
+    bool expired() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace sapphirecove::transport
