Add the JSON codecs for messages, log records and platform answers

Change: each struct has one field list that both the reader and the writer visit, so that the two cannot diverge. Decoders return the JSON pointer and the expectation. Ruled out: separate hand-written reader and writer for each struct; twice the code, and a renamed field in one of them is found only at run time.

--- a/src/protocol/coordinatormessages.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "coordination/coordinator.h"
--- /dev/null
+++ b/src/protocol/fieldreader.cpp
@@ -0,0 +1,32 @@
+#include "protocol/fieldreader.h"
+
+namespace sapphirecove::protocol {
+
+bool readInteger(ReadContext &context, const json::value &value, std::int64_t &result, IntegerBounds bounds)
+{
+    const std::int64_t *number = value.if_int64();
+    if (number == nullptr || *number < bounds.lowest || *number > bounds.highest) {
+        context.reject("an integer from " + std::to_string(bounds.lowest) + " to " + std::to_string(bounds.highest));
+        return false;
+    }
+    result = *number;
+    return true;
+}
+
+bool readUnsigned(ReadContext &context, const json::value &value, std::uint64_t &result)
+{
+    const std::int64_t *small = value.if_int64();
+    if (small != nullptr && *small >= 0) {
+        result = static_cast<std::uint64_t>(*small);
+        return true;
+    }
+    const std::uint64_t *large = value.if_uint64();
+    if (large == nullptr) {
+        context.reject("an integer from 0 to " + std::to_string(std::numeric_limits<std::uint64_t>::max()));
+        return false;
+    }
+    result = *large;
+    return true;
+}
+
+} // namespace sapphirecove::protocol
--- /dev/null
+++ b/src/protocol/logcodec.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "state/failure.h"
+#include "state/logrecord.h"
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sapphirecove::protocol {
+
+/** Record that the log holds but that is not a valid record of its stream. */
+struct UnreadableRecord
+{
+    state::Offset offset = 0;
+    std::string detail;
+};
+
+/** Answer of the log to a read. */
+struct LogReadAnswer
+{
+    state::Offset first = 0; /**< oldest retained offset */
+    state::Offset next = 0; /**< offset after the last record of the answer */
+    std::vector<state::StoredRecord> records;
+    std::vector<UnreadableRecord> unreadable;
+};
+
+/** Answer of the log to an append. */
+struct LogAppendAnswer
+{
+    state::Offset offset = 0; /**< of the first record */
+    std::uint64_t count = 0;
+};
+
+/** Returns the path that appends to a stream. */
+std::string appendPath(state::Stream stream);
+
+/** Returns the path that reads up to @p limit records from @p from on, waiting up to @p wait for a new record. */
+std::string readPath(state::Stream stream, state::Offset from, std::size_t limit, state::Duration wait);
+
+/** Returns the body of an append. */
+std::string encodeAppendBody(std::span<const state::LogRecord> records);
+
+/** Reads the answer to an append. */
+state::Result<LogAppendAnswer> decodeAppendAnswer(std::string_view body, std::string_view peer);
+
+/**
+ * Reads the answer to a read of @p stream. A record whose value is malformed or belongs to another stream is reported
+ * in @c unreadable and does not fail the whole answer, since one bad record must not stop a host from reading on.
+ */
+state::Result<LogReadAnswer> decodeReadAnswer(state::Stream stream, std::string_view body, std::string_view peer);
+
+} // namespace sapphirecove::protocol
--- /dev/null
+++ b/src/protocol/messagefields.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "coordination/message.h"
+#include "protocol/fieldnames.h"
+#include "protocol/fieldreader.h"
+#include "protocol/typename.h"
+
+namespace sapphirecove::protocol {
+
+template <>
+inline constexpr std::string_view TypeName<coordination::Heartbeat> = "heartbeat";
+template <>
+inline constexpr std::string_view TypeName<coordination::SlotAsk> = "slot_ask";
+template <>
+inline constexpr std::string_view TypeName<coordination::SlotWithdraw> = "slot_withdraw";
+template <>
+inline constexpr std::string_view TypeName<coordination::SlotGrant> = "slot_grant";
+template <>
+inline constexpr std::string_view TypeName<coordination::SlotDeny> = "slot_deny";
+template <>
+inline constexpr std::string_view TypeName<coordination::SlotRelease> = "slot_release";
+template <>
+inline constexpr std::string_view TypeName<coordination::OutstandingReport> = "outstanding_report";
+template <>
+inline constexpr std::string_view TypeName<coordination::ConfigurationRequest> = "configuration_request";
+template <>
+inline constexpr std::string_view TypeName<coordination::ConfigurationOffer> = "configuration_offer";
+
+/** Visits the fields of a message's struct by their JSON names. */
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::GroupSummary> auto &summary)
+{
+    visit("group", summary.group);
+    visit("waiting", summary.waiting);
+    visit("free_streams", summary.freeStreams);
+    visit("estimated_wait_us", summary.estimatedWait);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::TierFloor> auto &floor)
+{
+    visit("pool", floor.pool);
+    visit("tier", floor.tier, TierBounds);
+    visit("sequence", floor.sequence);
+    visit("remaining_us", floor.remaining);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::VersionHalt> auto &halt)
+{
+    visit("pool", halt.pool);
+    visit("version", halt.version);
+    visit("reason", halt.reason);
+    visit("noticed_by", halt.noticedBy);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::Heartbeat> auto &heartbeat)
+{
+    visit("sequence", heartbeat.sequence);
+    visit("acknowledged", heartbeat.acknowledged);
+    visit("generation", heartbeat.generation);
+    visit("draining", heartbeat.draining);
+    visit("ready", heartbeat.ready);
+    visit("groups", heartbeat.groups);
+    visit("floors", heartbeat.floors);
+    visit("halts", heartbeat.halts);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::SlotAsk> auto &ask)
+{
+    visit("request", ask.request);
+    visit("group", ask.group);
+    visit("customer", ask.customer);
+    visit("tier", ask.tier, TierBounds);
+    visit("prompt_tokens", ask.promptTokens);
+    visit("max_output_tokens", ask.maxOutputTokens);
+    visit("body_bytes", ask.bodyBytes);
+    visit("deadline_us", ask.deadline);
+    visit("prefix_hashes", ask.prefixHashes);
+    visit("source_failure_domain", ask.sourceFailureDomain);
+    visit("excluded", ask.excluded);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::SlotWithdraw> auto &withdraw)
+{
+    visit("request", withdraw.request);
+    visit("group", withdraw.group);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::SlotGrant> auto &grant)
+{
+    visit("request", grant.request);
+    visit("group", grant.group);
+    visit("grant", grant.grant);
+    visit("target", grant.target);
+    visit("version", grant.version);
+    visit("valid_for_us", grant.validFor);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::SlotDeny> auto &deny)
+{
+    visit("request", deny.request);
+    visit("group", deny.group);
+    visit("reason", deny.reason);
+    visit("retry_after_us", deny.retryAfter);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::SlotRelease> auto &release)
+{
+    visit("request", release.request);
+    visit("group", release.group);
+    visit("grant", release.grant);
+    visit("target", release.target);
+    visit("version", release.version);
+    visit("outcome", release.outcome);
+    visit("prompt_tokens", release.promptTokens);
+    visit("cached_tokens", release.cachedTokens);
+    visit("output_tokens", release.outputTokens);
+    visit("time_to_first_token_us", release.timeToFirstToken);
+    visit("total_us", release.total);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::OutstandingDispatch> auto &dispatch)
+{
+    visit("request", dispatch.request);
+    visit("grant", dispatch.grant);
+    visit("target", dispatch.target);
+    visit("prompt_tokens", dispatch.promptTokens);
+    visit("max_output_tokens", dispatch.maxOutputTokens);
+    visit("first_token_seen", dispatch.firstTokenSeen);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::OutstandingReport> auto &report)
+{
+    visit("group", report.group);
+    visit("dispatches", report.dispatches);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::ConfigurationRequest> auto &request)
+{
+    visit("generation", request.generation);
+}
+
+template <typename Visitor>
+void visitFields(Visitor &visit, Like<coordination::ConfigurationOffer> auto &offer)
+{
+    visit("generation", offer.generation);
+    visit("offset", offer.offset);
+    visit("publish_id", offer.publishId);
+    visit("operator_name", offer.operatorName);
+    visit("document", offer.document);
+}
+
+} // namespace sapphirecove::protocol
--- /dev/null
+++ b/src/protocol/platformcodec.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "coordination/action.h"
+#include "coordination/event.h"
+#include "state/failure.h"
+#include "state/hostlist.h"
+
+#include <string>
+#include <string_view>
+
+namespace sapphirecove::protocol {
+
+/** Answer of an engine to a read of its cache events. */
+struct CacheEventsAnswer
+{
+    state::Offset first = 0; /**< oldest event that the engine keeps */
+    state::Offset next = 0; /**< offset for the next read */
+    coordination::CacheChanged change;
+};
+
+/** Reads the answer of the platform's host list. */
+state::Result<state::HostList> decodeHostList(std::string_view body, std::string_view peer);
+
+/** Reads an engine's load report. */
+state::Result<coordination::LoadReported>
+decodeLoadReport(std::string_view body, const state::TargetId &target, std::string_view peer);
+
+/**
+ * Reads the answer to GET /v1/cache_events?from=@p from. The events are merged into one change in which the last event
+ * of each hash decides. @c gap is set if events after @p from were lost.
+ */
+state::Result<CacheEventsAnswer>
+decodeCacheEvents(std::string_view body, const state::TargetId &target, state::Offset from, std::string_view peer);
+
+/** Returns the body of POST /v1/orders. */
+std::string encodeOrderBody(const coordination::SendOrder &order);
+
+/** Reads an engine's answer to @p order from the HTTP @p status and body; @c delivered is true. */
+state::Result<coordination::OrderAnswered>
+decodeOrderAnswer(int status, std::string_view body, const coordination::SendOrder &order, std::string_view peer);
+
+} // namespace sapphirecove::protocol
