--- /dev/null
+++ b/src/protocol/prompt.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace sapphirecove::protocol {
+
+/** Bytes of message text that are estimated as one token. */
+constexpr std::size_t BytesPerToken = 4;
+
+/** Bytes of one block of a hashed prefix. */
+constexpr std::size_t PrefixBlockBytes = 1024;
+
+/** Blocks at whose end the hash of the prefix is carried in slot requests; more would exceed 600 bytes. */
+constexpr std::size_t PrefixBoundaries[] = { 1, 2, 4, 8, 16, 32, 64, 128 };
+
+/** Returns the estimated tokens of a text of @p bytes: one for each started 4 bytes. */
+std::uint32_t estimateTokens(std::size_t bytes);
+
+/** Returns the chained hashes of the prefixes of @p text that end at the boundaries, shortest first. */
+std::vector<std::uint64_t> prefixHashes(std::string_view text);
+
+} // namespace sapphirecove::protocol
