--- a/src/coordination/action.h
+++ b/src/coordination/action.h
@@ -13,7 +13,11 @@
 
 namespace sapphirecove::coordination {
 
-/** Send a request to a target. The transport layer must drop it if it cannot start before @c expires. */
+/**
+ * Send a request to a target. The transport layer answers with DispatchRefused (nothing was sent, also when it could not
+ * start before @c expires) or with DispatchStarted and later DispatchFinished, unless it reported CallerDisconnected
+ * before.
+ */
 struct Dispatch
 {
     state::RequestId request;
@@ -25,7 +29,10 @@
     state::Time expires{};
 };
 
-/** Give a caller its final answer; nothing more happens for the request. */
+/**
+ * Give a caller its final answer. For a dispatched request whose answer has not begun it is followed by CancelDispatch;
+ * if the answer has begun meanwhile, the transport layer ignores the refusal.
+ */
 struct Refuse
 {
     state::RequestId request;
--- /dev/null
+++ b/src/coordination/customerlimiter.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "state/configuration.h"
+#include "state/identifiers.h"
+#include "state/time.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace sapphirecove::coordination {
+
+/**
+ * Limits of customers on one host: a token bucket for the rate and a count of requests in progress.
+ *
+ * The configured rate holds for the fleet. Each host applies an equal part of it, since the balancer spreads a
+ * customer's requests evenly.
+ */
+class CustomerLimiter
+{
+public:
+    /** Admits a request, or returns the time after which a retry makes sense. */
+    std::optional<state::Duration> admit(const state::Customer &customer, std::size_t liveHosts, state::Time now);
+
+    /** Ends a request that was admitted. */
+    void finish(const state::CustomerId &customer);
+
+private:
+    struct Bucket
+    {
+        double tokens = 0;
+        state::Time filledAt{};
+        int inProgress = 0;
+    };
+
+    static void refill(Bucket &bucket, double rate, state::Time now);
+
+    std::unordered_map<state::CustomerId, Bucket> m_buckets;
+};
+
+} // namespace sapphirecove::coordination
--- a/src/coordination/event.h
+++ b/src/coordination/event.h
@@ -23,7 +23,10 @@
     RequestInfo request;
 };
 
-/** The caller closed its connection before the answer was complete. */
+/**
+ * The caller closed its connection before the answer was complete. The transport layer starts no dispatch for the
+ * request after this event.
+ */
 struct CallerDisconnected
 {
     state::RequestId request;
