--- a/src/coordination/action.h
+++ b/src/coordination/action.h
@@ -14,9 +14,9 @@
 namespace sapphirecove::coordination {
 
 /**
- * Send a request to a target. The transport layer answers with DispatchRefused (nothing was sent, also when it could not
- * start before @c expires) or with DispatchStarted and later DispatchFinished, unless it reported CallerDisconnected
- * before.
+ * Send a request to a target. The transport layer answers with DispatchRefused (nothing was sent, also when it could
+ * not start before @c expires) or with DispatchStarted and later DispatchFinished, unless it reported
+ * CallerDisconnected before.
  */
 struct Dispatch
 {
