Test the request table, and copy an id before its entry is removed

Cause: the first run of the retry test left a refused request in the table. endBeforeDispatch() took the id by reference into the entry, moved the entry away and then looked up an empty id. Ruled out: a double refusal, the recorder showed one. Change: work on a copy. The random test's own first version let the transport layer start a dispatch that it had refused; each Dispatch is now answered once, as action.h states.

--- a/src/coordination/requesttable.cpp
+++ b/src/coordination/requesttable.cpp
@@ -377,8 +377,9 @@
     if (found == m_entries.end()) {
         return;
     }
-    const Entry entry = std::move(found->second);
-    remove(id);
+    // A copy, since id may refer to the entry that is about to be removed.
+    const Entry entry = found->second;
+    remove(entry.info.id);
     if (entry.phase == Phase::Waiting && !entry.route.arbiter.empty()) {
         m_effects.send(entry.route.arbiter, SlotWithdraw{ entry.info.id, entry.route.group }, now);
     }
--- /dev/null
+++ b/tests/coordination/testrequesttable.cpp
@@ -0,0 +1,284 @@
+#include "coordination/requesttable.h"
+
+#include "tests/coordination/recordingeffects.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace sapphirecove;
+using namespace sapphirecove::coordination;
+using sapphirecove::coordination::test::RecordingEffects;
+
+namespace {
+
+constexpr state::Time Start = state::timeFromMicroseconds(1'000'000'000);
+
+state::Configuration makeConfiguration()
+{
+    state::Configuration configuration;
+    configuration.customers["c"].id = "c";
+    configuration.pools["p"].id = "p";
+    for (const std::string id : { "t1", "t2" }) {
+        state::Target target;
+        target.id = id;
+        target.pool = "p";
+        target.address = "127.0.0.1";
+        target.port = 9001;
+        configuration.targets[id] = target;
+    }
+    return configuration;
+}
+
+RequestInfo makeRequest(const std::string &id)
+{
+    RequestInfo request;
+    request.id = id;
+    request.customer = "c";
+    request.pool = "p";
+    request.promptTokens = 10;
+    request.maxOutputTokens = 10;
+    request.deadline = Start + std::chrono::seconds(30);
+    return request;
+}
+
+SlotGrant makeGrant(const std::string &request, state::GrantId grant, const std::string &target = "t1")
+{
+    return SlotGrant{ request, "p@r#0", grant, target, "v1", std::chrono::seconds(1) };
+}
+
+struct Fixture
+{
+    Fixture()
+        : table(effects)
+        , configuration(makeConfiguration())
+    {
+        effects.routes = { Route{ "p@r#0", "arbiter" } };
+        effects.arbiters = { { "p@r#0", "arbiter" } };
+        table.setTargets(configuration.targets);
+    }
+
+    void arrive(const RequestInfo &request)
+    {
+        table.arrived(request, configuration, 1, Start);
+    }
+
+    RecordingEffects effects;
+    RequestTable table;
+    state::Configuration configuration;
+};
+
+} // namespace
+
+// Guards against a second dispatch when two arbiters grant the same request.
+TEST_CASE("a second grant is returned unused", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    f.table.granted("arbiter", makeGrant("r", 1), true, Start);
+    f.table.granted("other", makeGrant("r", 2, "t2"), true, Start);
+    CHECK(f.effects.all<Dispatch>().size() == 1);
+    const auto releases = f.effects.sentTo<SlotRelease>("other");
+    REQUIRE(releases.size() == 1);
+    CHECK(releases[0].outcome == GrantOutcome::Unused);
+    CHECK(releases[0].grant == 2);
+}
+
+// Guards against the return of a grant that is in use because its message was delivered twice.
+TEST_CASE("a repeated grant changes nothing", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    f.table.granted("arbiter", makeGrant("r", 1), true, Start);
+    f.table.granted("arbiter", makeGrant("r", 1), true, Start);
+    CHECK(f.effects.all<Dispatch>().size() == 1);
+    CHECK(f.effects.sentTo<SlotRelease>("arbiter").empty());
+}
+
+// Guards against new work on a leaving target by a grant that was issued before the list named it.
+TEST_CASE("a grant for an unusable target is returned", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    f.table.granted("arbiter", makeGrant("r", 1), false, Start);
+    CHECK(f.effects.all<Dispatch>().empty());
+    CHECK(f.effects.sentTo<SlotRelease>("arbiter").size() == 1);
+}
+
+// Guards against a repetition after the first byte may have reached a target.
+TEST_CASE("nothing leads back to waiting after the dispatch started", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    f.table.granted("arbiter", makeGrant("r", 1), true, Start);
+    f.table.dispatchStarted({ "r", 1 }, Start);
+    f.table.dispatchRefused({ "r", 1, "late" }, Start);
+    f.table.granted("arbiter", makeGrant("r", 2), true, Start);
+    f.table.denied("arbiter", SlotDeny{ "r", "p@r#0", DenyReason::Overloaded, {} }, Start);
+    CHECK(f.effects.all<Dispatch>().size() == 1);
+    CHECK(f.effects.all<Refuse>().empty());
+}
+
+// Guards against lost requests when a target's port is closed, and against endless attempts.
+TEST_CASE("a refused connection asks again within the retry budget", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    for (state::GrantId grant = 1; grant <= 4; ++grant) {
+        f.table.granted("arbiter", makeGrant("r", grant), true, Start);
+        f.table.dispatchRefused({ "r", grant, "refused" }, Start);
+    }
+    CHECK(f.effects.all<Dispatch>().size() == 4);
+    const auto refusals = f.effects.all<Refuse>();
+    REQUIRE(refusals.size() == 1);
+    CHECK(refusals[0].refusal.executed == Executed::No);
+    CHECK(f.table.size() == 0);
+}
+
+// Guards against a caller that waits for a lost ask or a dead arbiter.
+TEST_CASE("an ask is repeated and follows a change of the arbiter", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    f.table.tick(Start + std::chrono::milliseconds(500));
+    CHECK(f.effects.sentTo<SlotAsk>("arbiter").size() == 1);
+    f.table.tick(Start + std::chrono::milliseconds(1001));
+    CHECK(f.effects.sentTo<SlotAsk>("arbiter").size() == 2);
+    f.effects.arbiters["p@r#0"] = "successor";
+    f.table.tick(Start + std::chrono::milliseconds(1020));
+    CHECK(f.effects.sentTo<SlotAsk>("successor").size() == 1);
+}
+
+// Guards against a key that stays blocked although its request never ran.
+TEST_CASE("a claimed request that is not dispatched frees its key", "[requesttable]")
+{
+    Fixture f;
+    RequestInfo request = makeRequest("r");
+    request.idempotencyKey = "k";
+    f.arrive(request);
+    CHECK(f.effects.sentTo<SlotAsk>("arbiter").empty());
+    f.table.claimResolved("r", ClaimOutcome::Won, Start);
+    CHECK(f.effects.sentTo<SlotAsk>("arbiter").size() == 1);
+    f.table.denied("arbiter", SlotDeny{ "r", "p@r#0", DenyReason::Overloaded, std::chrono::seconds(2) }, Start);
+    CHECK(f.effects.released == std::vector<state::RequestId>{ "r" });
+    REQUIRE(f.effects.all<Refuse>().size() == 1);
+    CHECK(f.effects.all<Refuse>()[0].refusal.retryAfter == std::chrono::seconds(2));
+}
+
+// Guards against a second run of a key whose first claim is held by another request.
+TEST_CASE("a lost claim is answered as a duplicate with an unknown result", "[requesttable]")
+{
+    Fixture f;
+    RequestInfo request = makeRequest("r");
+    request.idempotencyKey = "k";
+    f.arrive(request);
+    f.table.claimResolved("r", ClaimOutcome::Lost, Start);
+    REQUIRE(f.effects.all<Refuse>().size() == 1);
+    CHECK(f.effects.all<Refuse>()[0].refusal.reason == RefusalReason::DuplicateRequest);
+    CHECK(f.effects.all<Refuse>()[0].refusal.executed == Executed::Unknown);
+    CHECK(f.effects.messages.empty());
+}
+
+// Guards against a request with a key that hangs while the log is down.
+TEST_CASE("a claim that the log does not confirm is refused as not run", "[requesttable]")
+{
+    Fixture f;
+    RequestInfo request = makeRequest("r");
+    request.idempotencyKey = "k";
+    f.arrive(request);
+    f.table.tick(Start + std::chrono::milliseconds(1999));
+    CHECK(f.effects.all<Refuse>().empty());
+    f.table.tick(Start + std::chrono::milliseconds(2000));
+    REQUIRE(f.effects.all<Refuse>().size() == 1);
+    CHECK(f.effects.all<Refuse>()[0].refusal.reason == RefusalReason::ClaimsUnavailable);
+    CHECK(f.effects.all<Refuse>()[0].refusal.executed == Executed::No);
+    CHECK(f.effects.released.size() == 1);
+}
+
+// Guards against an engine that accepts a request and stays silent.
+TEST_CASE("a dispatch without an answer at the deadline is given up as unknown", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    f.table.granted("arbiter", makeGrant("r", 1), true, Start);
+    f.table.dispatchStarted({ "r", 1 }, Start);
+    f.table.tick(Start + std::chrono::seconds(31));
+    f.table.tick(Start + std::chrono::seconds(32));
+    REQUIRE(f.effects.all<Refuse>().size() == 1);
+    CHECK(f.effects.all<Refuse>()[0].refusal.executed == Executed::Unknown);
+    CHECK(f.effects.all<CancelDispatch>().size() == 1);
+}
+
+// Guards against more than one dispatch or a false "not run" in any order of events, repeated and lost ones included.
+TEST_CASE("random schedules dispatch at most once and refuse truthfully", "[requesttable][random]")
+{
+    for (std::uint32_t seed = 1; seed <= 3000; ++seed) {
+        INFO("seed " << seed);
+        Fixture f;
+        std::mt19937 random(seed);
+        const auto pick = [&](int bound) {
+            return static_cast<int>(random() % static_cast<unsigned>(bound));
+        };
+        RequestInfo request = makeRequest("r");
+        if (pick(2) == 0) {
+            request.idempotencyKey = "k";
+        }
+        f.arrive(request);
+        bool started = false;
+        std::size_t answered = 0;
+        state::Time now = Start;
+        for (int step = 0; step < 40; ++step) {
+            now += std::chrono::milliseconds(pick(1500));
+            const auto grant = static_cast<state::GrantId>(1 + pick(4));
+            switch (pick(9)) {
+            case 0:
+            case 1:
+                f.table.granted(pick(2) == 0 ? "arbiter" : "other", makeGrant("r", grant), pick(4) != 0, now);
+                break;
+            case 2:
+                f.table.denied("arbiter", SlotDeny{ "r", "p@r#0", static_cast<DenyReason>(pick(4)), {} }, now);
+                break;
+            case 3:
+                f.table.claimResolved("r", pick(2) == 0 ? ClaimOutcome::Won : ClaimOutcome::Lost, now);
+                break;
+            case 4:
+            case 5: {
+                // The transport layer answers each Dispatch once, with a start or a refusal.
+                const auto dispatches = f.effects.all<Dispatch>();
+                if (dispatches.size() > answered && f.table.contains("r")) {
+                    ++answered;
+                    if (pick(2) == 0) {
+                        started = true;
+                        f.table.dispatchStarted({ "r", dispatches.back().grant }, now);
+                    } else {
+                        f.table.dispatchRefused({ "r", dispatches.back().grant, "refused" }, now);
+                    }
+                }
+                break;
+            }
+            case 6:
+                f.table.tick(now);
+                break;
+            case 7:
+                if (pick(8) == 0) {
+                    f.table.callerDisconnected("r", now);
+                }
+                break;
+            case 8:
+                if (started) {
+                    f.table.dispatchFinished({ "r", f.effects.all<Dispatch>().back().grant }, now);
+                }
+                break;
+            }
+            const std::size_t dispatchesAfterStart = f.effects.all<Dispatch>().size();
+            if (started) {
+                f.table.granted("other", makeGrant("r", 9), true, now);
+                REQUIRE(f.effects.all<Dispatch>().size() == dispatchesAfterStart);
+            }
+        }
+        for (const Refuse &refuse : f.effects.all<Refuse>()) {
+            REQUIRE((!started || refuse.refusal.executed != Executed::No));
+        }
+        REQUIRE(f.effects.all<Refuse>().size() <= 1);
+    }
+}
