Add the interfaces of the scheduling part of the decision library

Change: headers with the public interfaces. OutstandingReport gains the field complete (default true): listing every dispatch twice a second would cost more than the planned 10 KB/s for each host, so a host may name only new dispatches and send a complete list less often. Ruled out: a separate message for a started dispatch; the report already carries the same fields. Checked: all headers compile together without warnings; no behaviour yet.

--- /dev/null
+++ b/src/coordination/fairqueue.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "coordination/waitingask.h"
+#include "state/configuration.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+
+namespace sapphirecove::coordination {
+
+/** Fair share of one customer relative to other customers of the same tier. */
+struct CustomerWeight
+{
+    state::CustomerId customer;
+    double weight = 1.0;
+};
+
+/**
+ * Waiting slot requests of one arbiter.
+ *
+ * Tiers are strictly ordered. Within a tier, customers share by weight with start-time fair queueing (Goyal, Vin and
+ * Cheng, "Start-time Fair Queueing", SIGCOMM 1996); the cost of a request is its number of prompt and output tokens.
+ * Within a customer, the earliest deadline comes first. Insertion, removal and both selections take O(log n).
+ */
+class FairQueue
+{
+public:
+    /** What a visitor wants to happen after it saw a waiting request. */
+    enum class Visit {
+        Continue, /**< go on with the next request in order */
+        Stop,
+    };
+    using Visitor = std::function<Visit(const WaitingAsk &)>;
+
+    FairQueue();
+    ~FairQueue();
+    FairQueue(const FairQueue &) = delete;
+    FairQueue &operator=(const FairQueue &) = delete;
+
+    /** Replaces the weights; a customer that is not named has weight 1. Weights below 0.001 count as 0.001. */
+    void setWeights(std::span<const CustomerWeight> weights);
+
+    /** Adds a request; returns false and changes nothing if its id is already queued. */
+    bool push(WaitingAsk waiting);
+
+    /** Returns the queued request with this id, or a null pointer. */
+    const WaitingAsk *find(const state::RequestId &request) const;
+
+    /** Returns the request to be served next, or a null pointer if the queue is empty. */
+    const WaitingAsk *front() const;
+
+    /** Removes a request that is served now and charges its cost to its customer. */
+    std::optional<WaitingAsk> serve(const state::RequestId &request);
+
+    /** Removes a request that is not served; nothing is charged. */
+    std::optional<WaitingAsk> remove(const state::RequestId &request);
+
+    /**
+     * Visits requests in order of tier, customer and deadline until the visitor stops.
+     * The order is the one of the present start tags: it does not simulate the charges of the requests visited.
+     * The visitor must not change the queue.
+     */
+    void visit(const Visitor &visitor) const;
+
+    /**
+     * Returns the request to shed first: of the lowest tier, of the customer with the most queued cost for its weight,
+     * the one with the latest deadline. Returns a null pointer if the queue is empty.
+     */
+    const WaitingAsk *victim() const;
+
+    /** Returns the lowest tier (the highest number) that waits. */
+    std::optional<state::Tier> lowestTier() const;
+
+    /** Returns how many requests of a tier wait. */
+    std::size_t size(state::Tier tier) const;
+
+    /** Returns how many requests wait. */
+    std::size_t size() const;
+
+    bool empty() const;
+
+    /** Removes everything, including the charges. */
+    void clear();
+
+    /**
+     * Returns the estimated service seconds that are served before a new request with these properties: all of higher
+     * tiers, and of its own tier at most what the customer's fair share leaves to others meanwhile.
+     */
+    double workAhead(state::Tier tier, const state::CustomerId &customer, state::Time deadline) const;
+
+    /** Returns the service seconds of all waiting requests. */
+    double totalWork() const;
+
+private:
+    struct Entry;
+    struct Share;
+    struct Level;
+    struct EarlierDeadline
+    {
+        bool operator()(const Entry *left, const Entry *right) const;
+    };
+    struct EarlierStart
+    {
+        bool operator()(const Share *left, const Share *right) const;
+    };
+    struct LargerExcess
+    {
+        bool operator()(const Share *left, const Share *right) const;
+    };
+
+    Level &level(state::Tier tier);
+    Share &share(Level &level, const state::CustomerId &customer);
+    double weightOf(const state::CustomerId &customer) const;
+    std::optional<WaitingAsk> take(const state::RequestId &request, bool charge);
+    static void unlink(Level &level, Share &share);
+    static void link(Level &level, Share &share);
+
+    std::unordered_map<state::RequestId, std::unique_ptr<Entry>> m_entries;
+    std::map<state::Tier, std::unique_ptr<Level>> m_levels; // only tiers that have been used
+    std::unordered_map<state::CustomerId, double> m_weights;
+    std::uint64_t m_nextSequence = 0;
+};
+
+} // namespace sapphirecove::coordination
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -138,10 +138,11 @@
     bool firstTokenSeen = false;
 };
 
-/** Everything that the sender has dispatched to a group and that has not ended. */
+/** What the sender has dispatched to a group and that has not ended. */
 struct OutstandingReport
 {
     state::GroupId group;
+    bool complete = true; /**< false if only dispatches are listed that no earlier report named */
     std::vector<OutstandingDispatch> dispatches;
 };
 
--- /dev/null
+++ b/src/coordination/tiergate.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "coordination/message.h"
+#include "state/failure.h"
+#include "state/identifiers.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace sapphirecove::coordination {
+
+/**
+ * Tier floors of all pools as one host knows and announces them (section 3.2 of the design page).
+ *
+ * One instance serves all arbiters of a host. It keeps guarantee 2: before tier T is shed anywhere, every host in
+ * contact has stopped granting the tiers below T.
+ */
+class TierGate
+{
+public:
+    /** Time for which a floor holds after its last announcement. */
+    static constexpr state::Duration FloorDuration = std::chrono::seconds(2);
+    /** Silence after which a peer no longer delays a shed. */
+    static constexpr state::Duration AcknowledgeTimeout = std::chrono::seconds(1);
+    /** Silence of a listed peer after which only tier 0 is granted. */
+    static constexpr state::Duration QuietAfter = std::chrono::milliseconds(600);
+    /** Silence of a listed peer after which it no longer restricts grants. */
+    static constexpr state::Duration QuietUntil = std::chrono::seconds(5);
+    /** Floor that excludes no tier. */
+    static constexpr state::Tier NoFloor = std::numeric_limits<state::Tier>::max();
+
+    /** Creates the gate of the host @p self; fails if the name is empty. */
+    static state::Result<std::unique_ptr<TierGate>> create(const state::HostId &self);
+
+    /** Replaces the listed peers; @p peers may contain the host itself, which is ignored. */
+    void setPeers(std::span<const state::HostId> peers, state::Time now);
+
+    /** Notes that heartbeat @p sequence was handed to the transport layer for every listed peer. */
+    void heartbeatSent(std::uint64_t sequence, state::Time now);
+
+    /** Takes over the floors and the acknowledged sequence of a peer's heartbeat. */
+    void heartbeatReceived(const state::HostId &from, const Heartbeat &heartbeat, state::Time now);
+
+    /** Returns the lowest tier (the highest number) of the pool that may be granted now. */
+    state::Tier lowestGrantable(const state::PoolId &pool, state::Time now) const;
+
+    /**
+     * Returns whether @p tier of the pool may be shed now.
+     * The first call raises the floor to @p tier; later calls keep it raised. The caller repeats the call until it is
+     * allowed. The lowest tier needs no floor, which the caller decides: this function treats every tier alike.
+     */
+    bool mayShed(const state::PoolId &pool, state::Tier tier, state::Time now);
+
+    /** Returns the floors that the next heartbeat has to carry. */
+    std::vector<TierFloor> floors(state::Time now) const;
+
+private:
+    struct Peer
+    {
+        state::Time since{}; /**< start of the present contact or of the listing */
+        state::Time lastHeard{};
+        state::Time lastAcknowledgement{}; /**< last heartbeat that acknowledged a new sequence */
+        std::uint64_t acknowledged = 0;
+    };
+
+    struct OwnFloor
+    {
+        state::Tier tier = 0;
+        std::uint64_t sequence = 0;
+        state::Time raisedAt{};
+        state::Time expires{};
+        std::uint64_t firstHeartbeat = 0; /**< lowest heartbeat sequence that carries it */
+    };
+
+    struct PeerFloor
+    {
+        state::Tier tier = 0;
+        std::uint64_t sequence = 0;
+        state::Time expires{};
+    };
+
+    explicit TierGate(state::HostId self);
+
+    bool confirmedByAll(const OwnFloor &floor, state::Time now) const;
+    bool anyPeerQuiet(state::Time now) const;
+
+    state::HostId m_self;
+    std::map<state::HostId, Peer> m_peers;
+    std::map<state::PoolId, std::map<state::Tier, OwnFloor>> m_own;
+    std::map<state::PoolId, std::map<state::HostId, std::vector<PeerFloor>>> m_received;
+    std::uint64_t m_lastSent = 0;
+    std::uint64_t m_floorSequence = 0;
+};
+
+} // namespace sapphirecove::coordination
--- /dev/null
+++ b/src/coordination/waitingask.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "coordination/message.h"
+#include "state/identifiers.h"
+#include "state/time.h"
+
+namespace sapphirecove::coordination {
+
+/** Slot request that waits at an arbiter. */
+struct WaitingAsk
+{
+    SlotAsk ask;
+    state::HostId from; /**< entry host that sent it */
+    state::Time queuedAt{};
+    double serviceSeconds = 0; /**< estimated time from dispatch to the end on an idle target */
+};
+
+} // namespace sapphirecove::coordination
