--- /dev/null
+++ b/src/coordination/configurationfollower.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "coordination/documentchecker.h"
+#include "coordination/message.h"
+#include "coordination/statusreport.h"
+#include "state/configuration.h"
+#include "state/logrecord.h"
+#include "state/time.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sapphirecove::coordination {
+
+/** Verdict on one published record, or adoption of a configuration from a checkpoint or a peer. */
+struct ConfigurationOutcome
+{
+    PublicationStatus publication;
+    AuditEntry audit;
+};
+
+/**
+ * Follows the configuration stream and decides which configuration is in force.
+ *
+ * A published record is judged only if the generation in force at its position in the log is known exactly. It is known
+ * at offset 0 (generation 0), and from then on as long as no record is missed. A reader that finds that records before
+ * its position have expired loses this knowledge. It then keeps the records that follow without a verdict until a
+ * checkpoint or a peer's offer names a generation and the offset at which that generation was in force, and judges the
+ * kept records from that offset on. All hosts therefore come to the same verdict on each record, whenever they start.
+ *
+ * The configuration in force is the one of the highest generation known, whether or not it came with an exact offset;
+ * its generation never decreases. The verdict on a record depends only on the generation at its position and on the
+ * document; hosts that run programs with different checks can differ.
+ *
+ * For each read of the stream, call readFrom, then apply for each record, then readTo.
+ */
+class ConfigurationFollower
+{
+public:
+    /** Verdicts kept for operators. */
+    static constexpr std::size_t MaxPublications = 256;
+    /** Limits on records kept without a verdict; the oldest are dropped, and an offset after them is then needed. */
+    static constexpr std::size_t MaxPendingRecords = 1024;
+    static constexpr std::size_t MaxPendingBytes = std::size_t{ 16 } * 1024 * 1024;
+    /** Shortest time between two requests to peers and between two checkpoints of this host. */
+    static constexpr state::Duration RequestInterval = std::chrono::milliseconds(500);
+    static constexpr state::Duration CheckpointInterval = std::chrono::seconds(10);
+    /** A peer may be ahead for this time before this host asks for its configuration; the log is usually faster. */
+    static constexpr state::Duration PeerAheadTime = std::chrono::seconds(1);
+
+    /** @p checker must outlive the follower. */
+    static ConfigurationFollower create(const state::HostId &host, const DocumentChecker &checker);
+
+    /** Starts the handling of a read; @p first is the oldest offset that the log keeps. */
+    void readFrom(state::Offset first);
+
+    /**
+     * Takes the next record of the stream; records before readPosition() are ignored. Returns the verdicts that the
+     * record made possible: none while the generation at its position is unknown, several when it ends that state.
+     */
+    std::vector<ConfigurationOutcome> apply(const state::StoredRecord &stored, state::Time now);
+
+    /**
+     * Ends the handling of a read; @p next is the offset after it and @p atEnd is true if no newer record existed. If
+     * the log keeps no record at all and no peer has a configuration, the generation starts again at 0.
+     */
+    void readTo(state::Offset next, bool atEnd, state::Time now);
+
+    /** Returns the offset from which the stream is to be read next. */
+    state::Offset readPosition() const;
+
+    /**
+     * Takes a peer's configuration. An offer of a lower generation is ignored. One with an offset that this host has
+     * not passed also settles the generation at that offset.
+     */
+    std::vector<ConfigurationOutcome> offered(const ConfigurationOffer &offer, state::Time now);
+
+    /** Returns the answer to a peer's request; empty if this host has nothing that the peer lacks. */
+    std::optional<ConfigurationOffer> offer(const ConfigurationRequest &request) const;
+
+    /**
+     * Records what Membership knows of the live peers: their highest generation, and whether every live peer was heard
+     * (Membership::isSettled). Call it at each tick.
+     */
+    void updatePeers(state::Generation highest, bool settled, state::Time now);
+
+    /**
+     * Returns a request for a peer when one is due: while there is no configuration, a peer is ahead for PeerAheadTime,
+     * or the generation at the log position is unknown. At most one each RequestInterval.
+     */
+    std::optional<ConfigurationRequest> request(state::Time now);
+
+    /**
+     * Returns whether this host has a configuration at least as new as that of every live peer. Once true it stays
+     * true: a ready host that falls behind for a moment must not leave the load balancer.
+     */
+    bool isReady() const;
+
+    /**
+     * Returns whether the configuration in force must be repeated in the log, because half of @p retention has passed
+     * since the last record that carried it. Only the host selected for the duty appends the checkpoint.
+     */
+    bool needsCheckpoint(state::Time now, state::Duration retention) const;
+
+    /** Returns the checkpoint to append and starts the wait until the next one. Requires needsCheckpoint. */
+    state::ConfigurationCheckpoint checkpoint(state::Time now);
+
+    /** Returns the configuration in force, or nullptr. */
+    std::shared_ptr<const state::Configuration> configuration() const;
+
+    /** Returns the generation in force; 0 if there is none. */
+    state::Generation generation() const;
+
+    /** Returns the publish id of the configuration in force. */
+    const std::string &publishId() const;
+
+    /** Returns whether the generation at the log position is known exactly. */
+    bool isExact() const;
+
+    /** Returns the newest verdicts, oldest first. */
+    const std::deque<PublicationStatus> &publications() const;
+
+private:
+    /** Accepted configuration with its origin. */
+    struct Version
+    {
+        state::Generation generation = 0;
+        std::string publishId;
+        std::string operatorName;
+        std::string document;
+        std::shared_ptr<const state::Configuration> configuration;
+        std::optional<state::Time> carriedAt; /**< log time of the last record that carried it */
+    };
+
+    ConfigurationFollower(const state::HostId &host, const DocumentChecker &checker);
+
+    void judge(const state::StoredRecord &stored, state::Time now, std::vector<ConfigurationOutcome> &outcomes);
+    void
+    judgePublished(const state::StoredRecord &stored, state::Time now, std::vector<ConfigurationOutcome> &outcomes);
+    void judgeCheckpoint(const state::StoredRecord &stored, std::vector<ConfigurationOutcome> &outcomes);
+    void
+    applyUnsettled(const state::StoredRecord &stored, state::Time now, std::vector<ConfigurationOutcome> &outcomes);
+    void keepPending(const state::StoredRecord &stored);
+    void dropPending();
+    void
+    settle(const Version &version, state::Offset offset, state::Time now, std::vector<ConfigurationOutcome> &outcomes);
+    bool adopt(const Version &version,
+               const std::string &source,
+               state::Time now,
+               std::vector<ConfigurationOutcome> &outcomes);
+    void remember(const PublicationStatus &publication);
+    void noteCarried(state::Generation generation, state::Time time);
+    std::optional<Version> checked(const Version &version, std::string &problem) const;
+    void restartIfEmpty(state::Offset next);
+    void updateReadiness();
+
+    state::HostId m_host;
+    const DocumentChecker *m_checker;
+    Version m_inForce;
+    Version m_logState; /**< generation at m_position, if exact */
+    bool m_exact = true;
+    state::Offset m_position = 0;
+    state::Offset m_first = 0; /**< oldest offset that the log keeps */
+    std::deque<state::StoredRecord> m_pending;
+    std::size_t m_pendingBytes = 0;
+    state::Offset m_pendingFrom = 0; /**< all records between this offset and m_position are in m_pending */
+    std::deque<PublicationStatus> m_publications;
+    state::Generation m_highestPeer = 0;
+    bool m_settled = false;
+    bool m_ready = false;
+    bool m_atEnd = false;
+    std::optional<state::Time> m_behindSince;
+    std::optional<state::Time> m_lastRequest;
+    std::optional<state::Time> m_lastCheckpoint;
+};
+
+} // namespace sapphirecove::coordination
--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -155,10 +155,10 @@
 struct ConfigurationOffer
 {
     state::Generation generation = 0;
-    state::Offset offset = 0; /**< of the record that carried it */
+    state::Offset offset = 0; /**< first offset of the stream that the sender has not read; 0 if it cannot tell */
     std::string publishId;
     std::string operatorName;
-    std::string document;
+    std::string document; /**< empty if the request named the same generation */
 };
 
 /** Message between hosts. */
--- a/src/state/logrecord.h
+++ b/src/state/logrecord.h
@@ -32,6 +32,7 @@
     std::string publishId; /**< of the publication that it repeats */
     std::string operatorName;
     std::string document;
+    Offset readTo = 0; /**< first offset its author had not read; the generation was in force there */
 };
 
 /** Claim of an idempotency key before dispatch. */
@@ -67,7 +68,8 @@
     std::string name;
     HostId holder;
     Incarnation incarnation = 0;
-    Duration duration{};
+    Duration duration{}; /**< zero gives the lease up */
+    Time sent{}; /**< by the holder's clock, from which the holder counts the duration */
 };
 
 /** State of a version change. */
