Join the decision modules in HostCoordinator

Cause: the modules for requests, arbiters, membership and the log need one owner that routes events and carries messages to the host itself. Change: HostCoordinator implements Coordinator. Messages to this host go through a queue that is emptied after each event, so that a grant never changes the request table while the table is being walked. The result of a claimed request is recorded only if its target answered; a cut answer leaves the key with an unknown result. Outcomes are copied to the lease holder of the pool, which decides on version changes. Ruled out: calling the arbiter directly from the request table, since a local grant would then re-enter the table.

--- /dev/null
+++ b/src/coordination/arbiterset.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "coordination/arbiter.h"
+#include "coordination/coordinator.h"
+#include "coordination/event.h"
+#include "coordination/grouptable.h"
+#include "coordination/membership.h"
+#include "coordination/statusreport.h"
+#include "coordination/versioncontroller.h"
+#include "state/configuration.h"
+
+#include <map>
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace sapphirecove::coordination {
+
+/** The arbiters that this host runs at present, one for each group that it arbitrates. */
+class ArbiterSet
+{
+public:
+    /** @p gate must outlive the set. */
+    ArbiterSet(const CoordinatorOptions &options, TierGate &gate);
+
+    /** Uses @p configuration from now on; groups that no longer exist lose their arbiter. */
+    void configure(std::shared_ptr<const state::Configuration> configuration, const GroupTable &groups);
+
+    /** Starts arbitrating a group, unless it does already. @p expected are the hosts whose reports it waits for. */
+    void
+    start(const Group &group, const Membership &membership, std::span<const state::HostId> expected, state::Time now);
+
+    /** Stops arbitrating a group; its hosts ask the next arbiter. */
+    void stop(const state::GroupId &group);
+    void stopAll();
+
+    bool contains(const state::GroupId &group) const;
+
+    /** Takes over changed target states and versions. */
+    void
+    refresh(const GroupTable &groups, const Membership &membership, const VersionController &versions, state::Time now);
+
+    void ask(const state::HostId &from, const SlotAsk &ask, state::Time now, Replies &replies);
+    void withdraw(const state::HostId &from, const SlotWithdraw &withdraw, state::Time now);
+    void release(const state::HostId &from, const SlotRelease &release, state::Time now, Replies &replies);
+    void report(const state::HostId &from, const OutstandingReport &report, state::Time now);
+    void loadReported(const state::GroupId &group, const LoadReported &report, state::Time now);
+    void cacheChanged(const state::GroupId &group, const CacheChanged &change, state::Time now);
+    void hostLost(const state::HostId &host, state::Time now);
+    void tick(state::Time now, Replies &replies);
+
+    std::vector<GroupSummary> summaries(state::Time now) const;
+    std::vector<GroupStatus> status(state::Time now) const;
+    std::vector<state::GroupId> groups() const;
+
+private:
+    Arbiter *find(const state::GroupId &group);
+    ArbiterOptions makeOptions(const Group &group) const;
+    std::vector<ArbiterTarget> targetsOf(const Group &group, const Membership &membership) const;
+    std::vector<CustomerWeight> customerWeights() const;
+
+    CoordinatorOptions m_options;
+    TierGate &m_gate;
+    std::shared_ptr<const state::Configuration> m_configuration;
+    std::map<state::GroupId, std::unique_ptr<Arbiter>> m_arbiters;
+};
+
+} // namespace sapphirecove::coordination
--- /dev/null
+++ b/src/coordination/hostcoordinator.cpp
@@ -0,0 +1,367 @@
+#include "coordination/hostcoordinator.h"
+
+#include "coordination/placement/register.h"
+
+namespace sapphirecove::coordination {
+
+namespace {
+
+// Status in the log of a request that was dispatched and whose answer was cut off.
+constexpr int UnknownStatus = 0;
+
+} // namespace
+
+state::Result<std::unique_ptr<Coordinator>> Coordinator::create(const CoordinatorOptions &options,
+                                                                const DocumentChecker &checker)
+{
+    if (options.host.empty()) {
+        return state::fail("coordinator.create", "", "the host has no name");
+    }
+    BOOST_LEAF_CHECK(placement::create(options.placement));
+    BOOST_LEAF_AUTO(gate, TierGate::create(options.host));
+    return std::unique_ptr<Coordinator>(std::make_unique<HostCoordinator>(options, checker, std::move(gate)));
+}
+
+HostCoordinator::HostCoordinator(const CoordinatorOptions &options,
+                                 const DocumentChecker &checker,
+                                 std::unique_ptr<TierGate> gate)
+    : m_options(options)
+    , m_membership(Membership::create(
+          MembershipOptions{ options.host, options.incarnation, options.region, options.failureDomain }))
+    , m_gate(std::move(gate))
+    , m_log(options, checker)
+    , m_directory(options.host, options.region)
+    , m_arbiters(options, *m_gate)
+    , m_requests(*this)
+{
+}
+
+std::span<const Action> HostCoordinator::handle(const Event &event, state::Time now)
+{
+    m_actions.clear();
+    std::visit(
+        [&](const auto &typed) {
+            on(typed, now);
+        },
+        event);
+    deliverLocal(now);
+    return m_actions;
+}
+
+void HostCoordinator::on(const RequestArrived &event, state::Time now)
+{
+    const auto refuse = [&](RefusalReason reason, std::string detail) {
+        act(Refuse{ event.request.id, Refusal{ reason, Executed::No, std::chrono::seconds(1), std::move(detail) } });
+    };
+    if (m_drainingSince) {
+        refuse(RefusalReason::Draining, "the host is shutting down");
+        return;
+    }
+    if (!m_ready.value_or(false)) {
+        refuse(RefusalReason::NotReady, unreadyReason());
+        return;
+    }
+    const auto configuration = m_log.configuration().configuration();
+    m_requests.arrived(event.request, *configuration, m_alive.size(), now);
+    if (m_requests.contains(event.request.id) && event.request.idempotencyKey) {
+        m_claiming.insert(event.request.id);
+    }
+}
+
+void HostCoordinator::on(const CallerDisconnected &event, state::Time now)
+{
+    m_requests.callerDisconnected(event.request, now);
+}
+
+void HostCoordinator::on(const DispatchRefused &event, state::Time now)
+{
+    m_requests.dispatchRefused(event, now);
+}
+
+void HostCoordinator::on(const DispatchStarted &event, state::Time now)
+{
+    m_requests.dispatchStarted(event, now);
+}
+
+void HostCoordinator::on(const FirstTokenReceived &event, state::Time)
+{
+    m_requests.firstTokenReceived(event.request);
+}
+
+void HostCoordinator::on(const DispatchFinished &event, state::Time now)
+{
+    m_requests.dispatchFinished(event, now);
+}
+
+void HostCoordinator::on(const MessagesReceived &event, state::Time now)
+{
+    const Envelope &envelope = event.envelope;
+    if (envelope.incarnation < m_membership.incarnationOf(envelope.from)) {
+        return; // sent before the host restarted
+    }
+    for (const Message &message : envelope.messages) {
+        if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
+            if (!m_membership.received(envelope.from, envelope.incarnation, *heartbeat, now)) {
+                continue;
+            }
+        }
+        std::visit(
+            [&](const auto &typed) {
+                receive(envelope.from, typed, now);
+            },
+            message);
+    }
+}
+
+void HostCoordinator::on(const HostListRead &event, state::Time now)
+{
+    m_membership.updateList(event.list, now);
+    std::vector<state::HostId> peers;
+    for (const state::ListedHost &peer : m_membership.peers()) {
+        peers.push_back(peer.id);
+    }
+    m_gate->setPeers(peers, now);
+    m_directory.invalidate();
+    m_nextMembershipCheck = now;
+}
+
+void HostCoordinator::on(const RecordsRead &event, state::Time now)
+{
+    if (m_log.recordsRead(event, now)) {
+        applyConfiguration(now);
+    }
+    if (event.stream == state::Stream::Claims) {
+        resolveClaims(now);
+    }
+}
+
+void HostCoordinator::on(const LogUnavailable &event, state::Time now)
+{
+    m_log.unavailable(event, now);
+}
+
+void HostCoordinator::on(const LoadReported &event, state::Time now)
+{
+    if (const Group *group = m_directory.groups().groupOfTarget(event.target)) {
+        m_arbiters.loadReported(group->id, event, now);
+    }
+    m_log.versions().reported(event, now);
+}
+
+void HostCoordinator::on(const CacheChanged &event, state::Time now)
+{
+    if (const Group *group = m_directory.groups().groupOfTarget(event.target)) {
+        m_arbiters.cacheChanged(group->id, event, now);
+    }
+}
+
+void HostCoordinator::on(const OrderAnswered &event, state::Time now)
+{
+    m_log.versions().answered(event, now);
+}
+
+void HostCoordinator::receive(const state::HostId &from, const Heartbeat &message, state::Time now)
+{
+    m_gate->heartbeatReceived(from, message, now);
+    for (const GroupSummary &summary : message.groups) {
+        m_directory.summaryReceived(from, summary, now);
+    }
+    for (const VersionHalt &halt : message.halts) {
+        m_log.versions().halted(halt);
+    }
+}
+
+void HostCoordinator::receive(const state::HostId &from, const SlotAsk &message, state::Time now)
+{
+    Replies replies;
+    m_arbiters.ask(from, message, now, replies);
+    sendReplies(replies, now);
+}
+
+void HostCoordinator::receive(const state::HostId &from, const SlotWithdraw &message, state::Time now)
+{
+    m_arbiters.withdraw(from, message, now);
+}
+
+void HostCoordinator::receive(const state::HostId &from, const SlotGrant &message, state::Time now)
+{
+    m_requests.granted(from, message, isUsable(message.target, message.version), now);
+}
+
+void HostCoordinator::receive(const state::HostId &from, const SlotDeny &message, state::Time now)
+{
+    m_requests.denied(from, message, now);
+}
+
+void HostCoordinator::receive(const state::HostId &from, const SlotRelease &message, state::Time now)
+{
+    observe(message, now);
+    Replies replies;
+    m_arbiters.release(from, message, now, replies);
+    sendReplies(replies, now);
+}
+
+void HostCoordinator::receive(const state::HostId &from, const OutstandingReport &message, state::Time now)
+{
+    m_arbiters.report(from, message, now);
+}
+
+void HostCoordinator::receive(const state::HostId &from, const ConfigurationRequest &message, state::Time now)
+{
+    if (auto offer = m_log.configuration().offer(message)) {
+        send(from, std::move(*offer), now);
+    }
+}
+
+void HostCoordinator::receive(const state::HostId &, const ConfigurationOffer &message, state::Time now)
+{
+    if (m_log.offered(message, now)) {
+        applyConfiguration(now);
+    }
+}
+
+void HostCoordinator::act(Action action)
+{
+    m_actions.push_back(std::move(action));
+}
+
+void HostCoordinator::send(const state::HostId &to, Message message, state::Time now)
+{
+    if (const SlotRelease *release = std::get_if<SlotRelease>(&message)) {
+        copyToLeaseHolder(to, *release, now);
+    }
+    if (to == m_options.host) {
+        m_local.push_back(LocalMessage{ m_options.host, std::move(message) });
+        return;
+    }
+    // This host may notice a bad version from its own requests, whoever arbitrates their group.
+    if (const SlotRelease *release = std::get_if<SlotRelease>(&message)) {
+        observe(*release, now);
+    }
+    const auto peer = m_membership.listed(to);
+    if (!peer) {
+        return; // equal to a lost message, which every receiver must expect
+    }
+    act(SendMessage{ to, peer->address, peer->peerPort, std::move(message) });
+}
+
+std::optional<Route>
+HostCoordinator::route(const RequestInfo &request, std::span<const state::GroupId> excluded, state::Time now)
+{
+    return m_directory.route(request, excluded, now);
+}
+
+std::optional<state::HostId> HostCoordinator::arbiterOf(const state::GroupId &group, state::Time)
+{
+    return m_directory.arbiterOf(group);
+}
+
+KeyVerdict HostCoordinator::claimKey(const RequestInfo &request, state::Time now)
+{
+    ClaimTable &claims = m_log.claims();
+    const std::string &key = request.idempotencyKey.value();
+    if (claims.isCaughtUp()) {
+        const KeyView view = claims.view(request.customer, key);
+        if (view.state == KeyState::Finished && view.status != UnknownStatus) {
+            return KeyVerdict::Finished;
+        }
+        if (view.state != KeyState::Free) {
+            return KeyVerdict::InProgress;
+        }
+    }
+    return claims.propose(request.id, request.customer, key, now) ? KeyVerdict::Free : KeyVerdict::Unavailable;
+}
+
+void HostCoordinator::releaseKey(const RequestInfo &request, state::Time)
+{
+    m_claiming.erase(request.id);
+    m_log.claims().abandon(request.id);
+}
+
+void HostCoordinator::finishKey(const RequestInfo &request, std::optional<int> status, state::Time)
+{
+    m_log.claims().finish(request.id, status.value_or(UnknownStatus));
+}
+
+void HostCoordinator::deliverLocal(state::Time now)
+{
+    while (!m_local.empty()) {
+        const LocalMessage local = std::move(m_local.front());
+        m_local.pop_front();
+        std::visit(
+            [&](const auto &typed) {
+                receive(local.from, typed, now);
+            },
+            local.message);
+    }
+}
+
+void HostCoordinator::sendReplies(Replies &replies, state::Time now)
+{
+    for (Reply &reply : replies) {
+        send(reply.to, std::move(reply.message), now);
+    }
+}
+
+void HostCoordinator::applyConfiguration(state::Time now)
+{
+    const auto configuration = m_log.configuration().configuration();
+    m_directory.configure(*configuration);
+    m_arbiters.configure(configuration, m_directory.groups());
+    m_requests.setTargets(configuration->targets);
+    m_requests.setClaimTimeout(configuration->limits.claimTimeout);
+    act(ApplyConfiguration{ configuration, m_log.configuration().generation() });
+    act(WriteLog{ "configuration_in_force",
+                  { { "generation", std::to_string(m_log.configuration().generation()) },
+                    { "publish_id", m_log.configuration().publishId() } } });
+    followMembership(now);
+}
+
+void HostCoordinator::resolveClaims(state::Time now)
+{
+    for (auto claim = m_claiming.begin(); claim != m_claiming.end();) {
+        const state::RequestId id = *claim;
+        const ClaimResult result = m_log.claims().result(id);
+        if (result == ClaimResult::Pending) {
+            ++claim;
+            continue;
+        }
+        claim = m_claiming.erase(claim);
+        m_requests.claimResolved(id, result == ClaimResult::Won ? ClaimOutcome::Won : ClaimOutcome::Lost, now);
+    }
+}
+
+void HostCoordinator::observe(const SlotRelease &release, state::Time now)
+{
+    if (auto entry = m_log.versions().observe(release, "", now)) {
+        act(WriteLog{ "version_halted", { { "version", release.version }, { "detail", entry->detail } } });
+        m_log.audit().add(std::move(*entry));
+        m_nextHeartbeat = now; // the other hosts must hear of it at once
+    }
+}
+
+void HostCoordinator::copyToLeaseHolder(const state::HostId &arbiter, const SlotRelease &release, state::Time now)
+{
+    const Group *group = m_directory.groups().find(release.group);
+    if (group == nullptr || release.outcome == GrantOutcome::Unused) {
+        return;
+    }
+    const auto holder = m_log.leaseHolder(group->pool, now);
+    if (!holder || *holder == arbiter || *holder == m_options.host) {
+        return;
+    }
+    if (const auto peer = m_membership.listed(*holder)) {
+        act(SendMessage{ peer->id, peer->address, peer->peerPort, release });
+    }
+}
+
+bool HostCoordinator::isUsable(const state::TargetId &target, const state::VersionName &version) const
+{
+    const Group *group = m_directory.groups().groupOfTarget(target);
+    if (group == nullptr || m_membership.targetState(target) != state::ListedState::Live) {
+        return false;
+    }
+    return !m_log.versions().isHalted(group->pool, version);
+}
+
+} // namespace sapphirecove::coordination
--- a/src/coordination/requesteffects.h
+++ b/src/coordination/requesteffects.h
@@ -19,7 +19,7 @@
 };
 
 /** State of an idempotency key when a request that carries it arrives. */
-enum class KeyState {
+enum class KeyVerdict {
     Free, /**< a claim was proposed; its outcome follows */
     InProgress, /**< another request holds the key and its result is not known */
     Finished, /**< another request with the key has run */
@@ -46,13 +46,13 @@
     virtual std::optional<state::HostId> arbiterOf(const state::GroupId &group, state::Time now) = 0;
 
     /** Looks up the request's idempotency key and proposes a claim if it is free. */
-    virtual KeyState claimKey(const RequestInfo &request, state::Time now) = 0;
+    virtual KeyVerdict claimKey(const RequestInfo &request, state::Time now) = 0;
 
     /** Frees a key whose request was never dispatched. */
     virtual void releaseKey(const RequestInfo &request, state::Time now) = 0;
 
-    /** Records that the request of a key was dispatched and ended with @p status. */
-    virtual void finishKey(const RequestInfo &request, int status, state::Time now) = 0;
+    /** Records that the request of a key was dispatched; @p status is absent if the target's answer was cut off. */
+    virtual void finishKey(const RequestInfo &request, std::optional<int> status, state::Time now) = 0;
 };
 
 } // namespace sapphirecove::coordination
--- a/src/coordination/requesttable.cpp
+++ b/src/coordination/requesttable.cpp
@@ -58,8 +58,8 @@
         startWaiting(entry, now);
         return;
     }
-    const KeyState key = m_effects.claimKey(request, now);
-    if (key == KeyState::Free) {
+    const KeyVerdict key = m_effects.claimKey(request, now);
+    if (key == KeyVerdict::Free) {
         entry.phase = Phase::Claiming;
         return;
     }
@@ -81,7 +81,8 @@
     }
     const RequestInfo info = found->second.info;
     remove(info.id);
-    refuseKeyConflict(info, KeyState::InProgress);
+    m_effects.releaseKey(info, now);
+    refuseKeyConflict(info, KeyVerdict::InProgress);
 }
 
 void RequestTable::granted(const state::HostId &from, const SlotGrant &grant, bool targetUsable, state::Time now)
@@ -205,7 +206,8 @@
     const state::HostId arbiter = m_effects.arbiterOf(entry.route.group, now).value_or(entry.route.arbiter);
     m_effects.send(arbiter, release, now);
     if (entry.keyHeld) {
-        m_effects.finishKey(entry.info, event.status, now);
+        const bool answered = event.outcome == GrantOutcome::Complete || event.outcome == GrantOutcome::Failed;
+        m_effects.finishKey(entry.info, answered ? std::optional(event.status) : std::nullopt, now);
     }
     ++m_counters.finished;
     remove(event.request);
@@ -303,22 +305,22 @@
     m_effects.act(Refuse{ request.id, std::move(refusal) });
 }
 
-void RequestTable::refuseKeyConflict(const RequestInfo &request, KeyState state)
+void RequestTable::refuseKeyConflict(const RequestInfo &request, KeyVerdict state)
 {
     switch (state) {
-    case KeyState::Finished:
+    case KeyVerdict::Finished:
         refuse(request,
                Refusal{ RefusalReason::DuplicateRequest,
                         Executed::Yes,
                         std::nullopt,
                         "a request with this idempotency key has run" });
         return;
-    case KeyState::Unavailable:
+    case KeyVerdict::Unavailable:
         refuse(request,
                notRun(RefusalReason::ClaimsUnavailable, "idempotency keys cannot be checked now", ShortRetryAfter));
         return;
-    case KeyState::Free:
-    case KeyState::InProgress:
+    case KeyVerdict::Free:
+    case KeyVerdict::InProgress:
         refuse(request,
                Refusal{ RefusalReason::DuplicateRequest,
                         Executed::Unknown,
--- a/src/coordination/requesttable.h
+++ b/src/coordination/requesttable.h
@@ -104,7 +104,7 @@
     using Entries = std::unordered_map<state::RequestId, Entry>;
 
     void refuse(const RequestInfo &request, Refusal refusal);
-    void refuseKeyConflict(const RequestInfo &request, KeyState state);
+    void refuseKeyConflict(const RequestInfo &request, KeyVerdict state);
     void startWaiting(Entry &entry, state::Time now);
     void sendAsk(Entry &entry, state::Time now);
     void returnGrant(const state::HostId &to, const SlotGrant &grant, GrantOutcome outcome, state::Time now);
--- a/tests/coordination/recordingeffects.h
+++ b/tests/coordination/recordingeffects.h
@@ -41,9 +41,9 @@
         return found == arbiters.end() ? std::nullopt : std::optional(found->second);
     }
 
-    KeyState claimKey(const RequestInfo &, state::Time) override
+    KeyVerdict claimKey(const RequestInfo &, state::Time) override
     {
-        return keyState;
+        return keyVerdict;
     }
 
     void releaseKey(const RequestInfo &request, state::Time) override
@@ -51,7 +51,7 @@
         released.push_back(request.id);
     }
 
-    void finishKey(const RequestInfo &request, int status, state::Time) override
+    void finishKey(const RequestInfo &request, std::optional<int> status, state::Time) override
     {
         finished.emplace_back(request.id, status);
     }
@@ -87,9 +87,9 @@
     std::vector<std::pair<state::HostId, Message>> messages;
     std::vector<Route> routes;
     std::map<state::GroupId, state::HostId> arbiters;
-    KeyState keyState = KeyState::Free;
+    KeyVerdict keyVerdict = KeyVerdict::Free;
     std::vector<state::RequestId> released;
-    std::vector<std::pair<state::RequestId, int>> finished;
+    std::vector<std::pair<state::RequestId, std::optional<int>>> finished;
 };
 
 } // namespace sapphirecove::coordination::test
--- a/tests/coordination/testrequesttable.cpp
+++ b/tests/coordination/testrequesttable.cpp
@@ -179,6 +179,25 @@
     CHECK(f.effects.messages.empty());
 }
 
+// Guards against "executed: yes" for a key whose request was cut off in the middle.
+TEST_CASE("the result of a claimed request is recorded only if the target answered", "[requesttable]")
+{
+    const auto outcome =
+        GENERATE(GrantOutcome::Complete, GrantOutcome::Failed, GrantOutcome::Cut, GrantOutcome::Cancelled);
+    Fixture f;
+    RequestInfo request = makeRequest("r");
+    request.idempotencyKey = "k";
+    f.arrive(request);
+    f.table.claimResolved("r", ClaimOutcome::Won, Start);
+    f.table.granted("arbiter", makeGrant("r", 1), true, Start);
+    f.table.dispatchStarted({ "r", 1 }, Start);
+    f.table.dispatchFinished({ "r", 1, outcome, 200 }, Start);
+    REQUIRE(f.effects.finished.size() == 1);
+    const bool answered = outcome == GrantOutcome::Complete || outcome == GrantOutcome::Failed;
+    CHECK(f.effects.finished[0].second.has_value() == answered);
+    CHECK(f.effects.released.empty());
+}
+
 // Guards against a request with a key that hangs while the log is down.
 TEST_CASE("a claim that the log does not confirm is refused as not run", "[requesttable]")
 {
