--- a/src/coordination/hostcoordinator.cpp
+++ b/src/coordination/hostcoordinator.cpp
@@ -17,7 +17,10 @@
     if (options.host.empty()) {
         return state::fail("coordinator.create", "", "the host has no name");
     }
-    BOOST_LEAF_CHECK(placement::create(options.placement));
+    auto policy = placement::create(options.placement);
+    if (!policy) {
+        return policy.error();
+    }
     BOOST_LEAF_AUTO(gate, TierGate::create(options.host));
     return std::unique_ptr<Coordinator>(std::make_unique<HostCoordinator>(options, checker, std::move(gate)));
 }
