Add the JSON form of the status report and its parts

Need: the operators' listener writes the status and the commands read it, each in whole or in one of its parts. Ruled out: one struct for each part; the parts are subsets of the report and would have to be filled twice.

--- a/src/protocol/fieldreader.h
+++ b/src/protocol/fieldreader.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -113,6 +114,20 @@
         result = static_cast<int>(number);
     }
 
+    static void read(ReadContext &context, const json::value &value, std::int64_t &result, IntegerBounds bounds)
+    {
+        readInteger(context, value, result, bounds);
+    }
+
+    static void read(ReadContext &context, const json::value &value, double &result)
+    {
+        if (!value.is_number()) {
+            context.reject("a number");
+            return;
+        }
+        result = value.to_number<double>();
+    }
+
     static void read(ReadContext &context, const json::value &value, state::Duration &result)
     {
         std::int64_t number = 0;
@@ -140,6 +155,20 @@
         result = *found;
     }
 
+    static void read(ReadContext &context, const json::value &value, std::map<std::string, std::uint64_t> &result)
+    {
+        if (!value.is_object()) {
+            context.reject("an object");
+            return;
+        }
+        for (const auto &member : value.get_object()) {
+            const std::string name(member.key().data(), member.key().size());
+            context.enter(std::string_view(name));
+            read(context, member.value(), result[name]);
+            context.leave();
+        }
+    }
+
     template <typename Item>
     static void read(ReadContext &context, const json::value &value, std::vector<Item> &result)
     {
