Add the stand-ins for the outside systems

Real products of these kinds may not be started in the tests, so each one is a small in-process simulation behind the HTTP calls of sections 4.2 to 4.4 of the design page.

Each kind is a subcommand with a control endpoint under /standin/ that sets faults at run time and shows the requests received. Unknown option names are refused, because a misspelt fault would turn a test into one without faults.

--- /dev/null
+++ b/standins/cacheeventlog.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <boost/json.hpp>
+
+#include <deque>
+#include <vector>
+
+namespace sapphirecove::standins {
+
+/** Cache events of one engine with their offsets; they are shown late and some never. */
+class CacheEventLog
+{
+public:
+    /** Appends an event at @p nowUs; a lost event takes an offset and is never shown. */
+    void append(const char *kind, const std::vector<std::uint64_t> &hashes, std::int64_t nowUs, bool lost);
+
+    /** Answers `{"first", "next", "events"}` with the events from @p from on that are older than @p newestUs. */
+    boost::json::value toJson(std::int64_t from, std::int64_t newestUs) const;
+
+private:
+    struct Event
+    {
+        std::int64_t offset = 0;
+        std::int64_t timeUs = 0;
+        const char *kind = "";
+        std::vector<std::uint64_t> hashes;
+        bool lost = false;
+    };
+
+    std::deque<Event> m_events;
+    std::int64_t m_next = 0;
+};
+
+} // namespace sapphirecove::standins
--- /dev/null
+++ b/standins/engine.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "standins/batch.h"
+#include "standins/cacheeventlog.h"
+#include "standins/httpserver.h"
+#include "standins/prefixcache.h"
+#include "standins/weightdownload.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <optional>
+#include <random>
+#include <unordered_map>
+
+namespace sapphirecove::standins {
+
+/** Stand-in for one model engine; answers the calls of section 4.4 of the design page. */
+class Engine
+{
+public:
+    Engine(boost::asio::io_context &context, std::uint16_t port, EngineOptions options);
+
+    std::uint16_t port() const
+    {
+        return m_server.port();
+    }
+
+private:
+    using Connection = std::shared_ptr<HttpConnection>;
+    using Stream = std::shared_ptr<EngineStream>;
+
+    struct LoadReport
+    {
+        std::int64_t timeUs = 0;
+        std::size_t running = 0;
+        std::size_t waiting = 0;
+        std::string version;
+        std::string loading;
+    };
+
+    void handle(const Connection &connection);
+    void complete(const Connection &connection);
+    void resume(const Connection &connection, const std::string &id);
+    void cancel(const Connection &connection, const std::string &id);
+    void order(const Connection &connection);
+    void handleControl(const Connection &connection, const RequestTarget &target);
+
+    Stream makeStream(const boost::json::object &body, const Connection &connection);
+    const VersionFaults *faultsFor(const std::string &promptText);
+    void keepStream(const Stream &stream);
+    void startLoading(const std::string &version);
+    void becomeVersion(const std::string &version);
+    bool draw(double rate);
+
+    void wake();
+    void step();
+    void recordLoad();
+    boost::json::value loadReport() const;
+    void pump(EngineStream &stream);
+    void sendDocument(EngineStream &stream);
+
+    boost::asio::io_context &m_context;
+    EngineOptions m_options;
+    std::mt19937_64 m_random;
+    Batch m_batch;
+    PrefixCache m_cache;
+    CacheEventLog m_cacheEvents;
+    RequestLog m_log;
+    RequestLog m_orders;
+    std::unordered_map<std::string, Stream> m_streams;
+    std::deque<std::string> m_streamOrder; // oldest first
+    std::vector<Stream> m_open; // have a reader or are not ended
+    std::map<std::string, int> m_requestsOfVersion;
+    std::optional<std::int64_t> m_fencing; // highest seen
+    std::string m_loading;
+    std::shared_ptr<WeightDownload> m_download;
+    boost::asio::steady_timer m_loadTimer;
+    boost::asio::steady_timer m_stepTimer;
+    boost::asio::steady_timer m_reportTimer;
+    std::chrono::steady_clock::time_point m_lastStep;
+    bool m_awake = false;
+    std::deque<LoadReport> m_reports;
+    HttpServer m_server;
+};
+
+} // namespace sapphirecove::standins
--- /dev/null
+++ b/standins/httpconnection.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sapphirecove::standins {
+
+namespace http = boost::beast::http;
+using Request = http::request<http::string_body>;
+using Headers = std::map<std::string, std::string>;
+
+/** Path and query of a request target. */
+struct RequestTarget
+{
+    std::string path;
+    std::map<std::string, std::string> query;
+
+    /** Returns the query parameter @p name as a number, or @p otherwise if it is missing or no number. */
+    std::int64_t number(const std::string &name, std::int64_t otherwise) const;
+};
+
+/** Splits @p target into path and query parameters; percent escapes stay as they are. */
+RequestTarget parseTarget(std::string_view target);
+
+/**
+ * Connection of one client. Each request is answered once, at any later time, as a whole or in chunks; the next
+ * request is read after the answer has been written. Everything runs on the thread of the socket's context.
+ */
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    using Handler = std::function<void(std::shared_ptr<HttpConnection>)>;
+
+    HttpConnection(boost::asio::ip::tcp::socket socket, Handler handler);
+
+    /** Reads the first request. */
+    void start();
+
+    const Request &request() const
+    {
+        return m_parser->get();
+    }
+    bool isOpen() const
+    {
+        return m_socket.is_open();
+    }
+    /** Bytes handed over and not yet taken by the operating system. */
+    std::size_t pendingBytes() const
+    {
+        return m_pending.size() + m_writing.size();
+    }
+
+    /** Answers the current request with a JSON body. */
+    void reply(unsigned status, const boost::json::value &body, const Headers &headers = {});
+
+    /** Starts a chunked answer. */
+    void beginChunks(const std::string &contentType, const Headers &headers = {});
+    /** Sends the next piece of a chunked answer. */
+    void writeChunk(std::string_view data);
+    /** Ends a chunked answer. */
+    void endChunks();
+
+    /** Closes the connection without finishing the answer. */
+    void abort();
+
+private:
+    void readRequest();
+    void finishAnswer();
+    void flush();
+    void handleWritten(boost::system::error_code error);
+
+    boost::asio::ip::tcp::socket m_socket;
+    Handler m_handler;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    std::string m_pending;
+    std::string m_writing;
+    bool m_answered = false;
+};
+
+} // namespace sapphirecove::standins
