Carry the fields that the log modules added in the JSON codecs

A report without "complete" would have ended grants that still run. Ruled out: default values in the decoder, since an old host's message would then be read as a complete report. Before: test_protocol did not build. After: test_protocol passes.

--- a/src/protocol/messagefields.h
+++ b/src/protocol/messagefields.h
@@ -142,6 +142,7 @@
 {
     visit("group", report.group);
     visit("dispatches", report.dispatches);
+    visit("complete", report.complete);
 }
 
 template <typename Visitor>
--- a/src/protocol/recordfields.h
+++ b/src/protocol/recordfields.h
@@ -39,6 +39,7 @@
     visit("publish_id", record.publishId);
     visit("operator_name", record.operatorName);
     visit("document", record.document);
+    visit("read_to", record.readTo);
 }
 
 template <typename Visitor>
@@ -75,6 +76,7 @@
     visit("holder", record.holder);
     visit("incarnation", record.incarnation);
     visit("duration_us", record.duration);
+    visit("sent_us", record.sent);
 }
 
 template <typename Visitor>
--- a/tests/protocol/testmessagecodec.cpp
+++ b/tests/protocol/testmessagecodec.cpp
@@ -57,9 +57,9 @@
           R"({"type":"slot_release","request":"h.1.2","group":"g","grant":9,"target":"t","version":"v1",)"
           R"("outcome":"cut","prompt_tokens":1,"cached_tokens":2,"output_tokens":3,)"
           R"("time_to_first_token_us":4,"total_us":5})" },
-        { OutstandingReport{ "g", { { "h.1.2", 9, "t", 1, 2, true } } },
+        { OutstandingReport{ "g", true, { { "h.1.2", 9, "t", 1, 2, true } } },
           R"({"type":"outstanding_report","group":"g","dispatches":[{"request":"h.1.2","grant":9,"target":"t",)"
-          R"("prompt_tokens":1,"max_output_tokens":2,"first_token_seen":true}]})" },
+          R"("prompt_tokens":1,"max_output_tokens":2,"first_token_seen":true}],"complete":true})" },
         { ConfigurationRequest{ 3 }, R"({"type":"configuration_request","generation":3})" },
         { ConfigurationOffer{ 3, 4, "id", "kofi", "{\"a\":1}" },
           R"({"type":"configuration_offer","generation":3,"offset":4,"publish_id":"id","operator_name":"kofi",)"
