--- a/src/coordination/message.h
+++ b/src/coordination/message.h
@@ -138,10 +138,11 @@
     bool firstTokenSeen = false;
 };
 
-/** Everything that the sender has dispatched to a group and that has not ended. */
+/** What the sender has dispatched to a group and that has not ended. */
 struct OutstandingReport
 {
     state::GroupId group;
+    bool complete = true; /**< false if only dispatches are listed that no earlier report named */
     std::vector<OutstandingDispatch> dispatches;
 };
 
@@ -155,10 +156,10 @@
 struct ConfigurationOffer
 {
     state::Generation generation = 0;
-    state::Offset offset = 0; /**< of the record that carried it */
+    state::Offset offset = 0; /**< first offset of the stream that the sender has not read; 0 if it cannot tell */
     std::string publishId;
     std::string operatorName;
-    std::string document;
+    std::string document; /**< empty if the request named the same generation */
 };
 
 /** Message between hosts. */
