--- /dev/null
+++ b/tests/transport/data/testtargetexchange.cpp
@@ -0,0 +1,285 @@
+#include "tests/transport/data/datafixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirecove;
+using namespace sapphirecove::tests;
+using Catch::Matchers::Contains;
+using Catch::Matchers::EndsWith;
+using Catch::Matchers::StartsWith;
+using coordination::GrantOutcome;
+
+namespace {
+
+constexpr std::string_view StreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Version: v1\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+constexpr std::string_view EndMarker = "data: [DONE]\n\n";
+
+std::string chunk(std::string_view data)
+{
+    std::ostringstream text;
+    text << std::hex << data.size() << "\r\n" << data << "\r\n";
+    return text.str();
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: {\"choices\":[{\"delta\":{\"content\":\"t\"}}]}\n\n";
+}
+
+std::string lastEvent(int id)
+{
+    return "id: " + std::to_string(id)
+        + "\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":2,"
+          "\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n";
+}
+
+/** Returns the body of a chunked answer; sets @p complete if it ended with the last chunk. */
+std::string unchunk(const std::string &answer, bool &complete)
+{
+    std::string body;
+    complete = false;
+    std::size_t at = answer.find("\r\n\r\n") + 4;
+    while (at < answer.size()) {
+        const auto size = std::stoul(answer.substr(at), nullptr, 16);
+        at = answer.find("\r\n", at) + 2;
+        complete = size == 0;
+        body += answer.substr(at, size);
+        at += size + 2;
+    }
+    return body;
+}
+
+std::string chatAndClose(std::uint16_t port, std::string_view body = StreamBody)
+{
+    BlockingConnection caller(port);
+    caller.write(chatText(body, "Connection: close\r\n"));
+    return caller.readToEnd();
+}
+
+void writeStream(BlockingConnection &connection, const std::string &events)
+{
+    connection.write(StreamHead);
+    connection.write(chunk(events));
+}
+
+} // namespace
+
+// Guards against lost measurements and against a stream that is changed on its way.
+TEST_CASE("a stream is forwarded unchanged and measured", "[exchange]")
+{
+    const std::string events = event(1) + lastEvent(2) + std::string(EndMarker);
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        writeStream(connection, events);
+        connection.write(LastChunk);
+    });
+    DataFixture fixture(grantAll(target.port()));
+    bool complete = false;
+    const auto answer = chatAndClose(fixture.port());
+    CHECK(unchunk(answer, complete) == events);
+    CHECK(complete);
+    CHECK_THAT(answer, Contains("X-Version: v1"));
+    CHECK_THAT(target.requests().at(0), EndsWith(std::string(StreamBody)));
+    fixture.await<coordination::DispatchStarted>();
+    fixture.await<coordination::FirstTokenReceived>();
+    const auto finished = fixture.await<coordination::DispatchFinished>();
+    CHECK(finished.outcome == GrantOutcome::Complete);
+    CHECK(finished.status == 200);
+    CHECK(finished.promptTokens == 9);
+    CHECK(finished.cachedTokens == 4);
+    CHECK(finished.outputTokens == 2);
+    CHECK(finished.timeToFirstToken > state::Duration::zero());
+    CHECK(finished.total >= finished.timeToFirstToken);
+}
+
+// Guards against a lost, repeated or halved event when a stream is cut, also in the middle of an event.
+TEST_CASE("a cut stream is resumed after the last whole event", "[exchange]")
+{
+    ScriptedTarget target([&](int number, const std::string &, BlockingConnection &connection) {
+        if (number == 0) {
+            writeStream(connection, event(1) + event(2) + event(3).substr(0, 20));
+        } else {
+            // An engine may repeat events that were sent before.
+            writeStream(connection, event(2) + event(3) + lastEvent(4) + std::string(EndMarker));
+            connection.write(LastChunk);
+        }
+    });
+    DataFixture fixture(grantAll(target.port()));
+    bool complete = false;
+    const auto body = unchunk(chatAndClose(fixture.port()), complete);
+    CHECK(body == event(1) + event(2) + event(3) + lastEvent(4) + std::string(EndMarker));
+    CHECK(complete);
+    const auto requests = target.requests();
+    REQUIRE(requests.size() == 2);
+    CHECK_THAT(requests[1], StartsWith("GET /v1/streams/host.7.1 HTTP/1.1") && Contains("Last-Event-ID: 2\r\n"));
+    CHECK(fixture.await<coordination::DispatchFinished>().outcome == GrantOutcome::Complete);
+    CHECK(fixture.count<coordination::DispatchFinished>() == 0);
+}
+
+// Guards against an incomplete stream that looks complete to the caller, and against a second dispatch.
+TEST_CASE("a stream that cannot be resumed ends without its last chunk", "[exchange]")
+{
+    ScriptedTarget target([&](int number, const std::string &, BlockingConnection &connection) {
+        if (number == 0) {
+            writeStream(connection, event(1));
+        } else {
+            connection.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    DataFixture fixture(grantAll(target.port()));
+    bool complete = true;
+    CHECK(unchunk(chatAndClose(fixture.port()), complete) == event(1));
+    CHECK_FALSE(complete);
+    CHECK(fixture.await<coordination::DispatchFinished>().outcome == GrantOutcome::Cut);
+    const auto requests = target.requests();
+    CHECK(std::count_if(requests.begin(),
+                        requests.end(),
+                        [](const auto &request) {
+                            return request.substr(0, 4) == "POST";
+                        })
+          == 1);
+}
+
+// Guards against an answer that says "not run" or "complete" although the target may have run the request.
+TEST_CASE("an answer that is cut or malformed gives a problem that tells the outcome as unknown", "[exchange]")
+{
+    struct Row
+    {
+        std::string answer;
+        std::string reason;
+        GrantOutcome outcome;
+    };
+    const std::vector<Row> rows{
+        { "", "outcome_unknown", GrantOutcome::Cut },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"choices\"", "outcome_unknown", GrantOutcome::Cut },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnot json", "target_failed", GrantOutcome::Failed },
+        { "garbage\r\n\r\n", "target_failed", GrantOutcome::Failed },
+    };
+    for (const auto &row : rows) {
+        ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+            connection.write(row.answer);
+        });
+        DataFixture fixture(grantAll(target.port()));
+        const auto answer = chatAndClose(fixture.port(), DocumentBody);
+        CHECK_THAT(answer, StartsWith("HTTP/1.1 502"));
+        CHECK_THAT(answer, Contains("\"reason\":\"" + row.reason + '"') && Contains("\"executed\":\"unknown\""));
+        CHECK(fixture.await<coordination::DispatchFinished>().outcome == row.outcome);
+        CHECK(target.requests().size() == 1);
+    }
+}
+
+// Guards against an error of a target that is hidden from the caller or from the target's health.
+TEST_CASE("a server error of a target is passed through and reported as failed", "[exchange]")
+{
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.1 503 Service Unavailable\r\nRetry-After: 7\r\nContent-Length: 4\r\n\r\nbusy");
+    });
+    DataFixture fixture(grantAll(target.port()));
+    CHECK_THAT(chatAndClose(fixture.port()),
+               StartsWith("HTTP/1.1 503") && Contains("Retry-After: 7") && EndsWith("busy"));
+    const auto finished = fixture.await<coordination::DispatchFinished>();
+    CHECK(finished.outcome == GrantOutcome::Failed);
+    CHECK(finished.status == 503);
+}
+
+// Guards against a refused connection that is reported as a dispatch, which would forbid another target.
+TEST_CASE("a refused connection is no dispatch and another target may follow", "[exchange]")
+{
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    });
+    boost::asio::io_context unused;
+    tcp::acceptor closed(unused, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    const auto closedPort = closed.local_endpoint().port();
+    closed.close();
+    DataFixture fixture([&](DataFixture &self, const coordination::Event &event) {
+        if (const auto *arrived = std::get_if<coordination::RequestArrived>(&event)) {
+            self.dispatch(arrived->request.id, closedPort, 1);
+        } else if (const auto *refused = std::get_if<coordination::DispatchRefused>(&event)) {
+            self.dispatch(refused->request, target.port(), 2);
+        }
+    });
+    BlockingConnection caller(fixture.port());
+    caller.write(requestText("GET /services/orders-app/x", "", ""));
+    CHECK_THAT(caller.readThrough("ok"), StartsWith("HTTP/1.1 200"));
+    CHECK(fixture.await<coordination::DispatchRefused>().grant == 1);
+    CHECK(fixture.await<coordination::DispatchStarted>().grant == 2);
+    CHECK(fixture.await<coordination::DispatchFinished>().grant == 2);
+}
+
+// Guards against an expired grant that is used, which would overload the target.
+TEST_CASE("a dispatch whose grant has expired sends nothing", "[exchange]")
+{
+    DataFixture fixture(grantNothing());
+    BlockingConnection caller(fixture.port());
+    caller.write(chatText());
+    const auto id = fixture.await<coordination::RequestArrived>().request.id;
+    const auto expired = transport::SystemClock().now() - std::chrono::seconds(1);
+    fixture.act(coordination::Dispatch{ id, 1, "target", "127.0.0.1", 1, "v1", expired });
+    CHECK(fixture.await<coordination::DispatchRefused>().detail == "grant expired");
+}
+
+// Guards against an engine that goes on generating for a caller that has gone.
+TEST_CASE("a disconnect during a stream is reported and a cancellation reaches the engine", "[exchange]")
+{
+    ScriptedTarget target([&](int number, const std::string &, BlockingConnection &connection) {
+        if (number == 0) {
+            writeStream(connection, event(1));
+            connection.readToEnd(); // returns when the host closes its connection
+        } else {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        }
+    });
+    DataFixture fixture([&](DataFixture &self, const coordination::Event &event) {
+        if (const auto *arrived = std::get_if<coordination::RequestArrived>(&event)) {
+            self.dispatch(arrived->request.id, target.port());
+        } else if (const auto *gone = std::get_if<coordination::CallerDisconnected>(&event)) {
+            self.act(coordination::CancelDispatch{ gone->request });
+        }
+    });
+    BlockingConnection caller(fixture.port());
+    caller.write(chatText());
+    caller.readThrough("\n\n");
+    caller.close();
+    CHECK(fixture.await<coordination::DispatchFinished>().outcome == GrantOutcome::Cancelled);
+    REQUIRE(target.waitForRequests(2));
+    CHECK_THAT(target.requests().at(1), StartsWith("POST /v1/streams/host.7.1/cancel"));
+}
+
+// Guards against a caller that waits for a silent target although the decisions have given the request up.
+TEST_CASE("a refusal before the answer has begun reaches the caller at once", "[exchange]")
+{
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.readToEnd();
+    });
+    DataFixture fixture([&](DataFixture &self, const coordination::Event &event) {
+        if (const auto *arrived = std::get_if<coordination::RequestArrived>(&event)) {
+            self.dispatch(arrived->request.id, target.port());
+        }
+    });
+    BlockingConnection caller(fixture.port());
+    caller.write(requestText("GET /services/orders-app/x", "", ""));
+    REQUIRE(target.waitForRequests(1));
+    const auto id = fixture.await<coordination::DispatchStarted>().request;
+    using coordination::RefusalReason;
+    fixture.act(coordination::Refuse{
+        id, { RefusalReason::DeadlineExceeded, coordination::Executed::Unknown, std::nullopt, "late" } });
+    fixture.act(coordination::CancelDispatch{ id });
+    CHECK_THAT(caller.readThrough("}"), StartsWith("HTTP/1.1 504") && Contains("\"executed\":\"unknown\""));
+    CHECK(fixture.await<coordination::DispatchFinished>().outcome == GrantOutcome::Cancelled);
+}
+
+// Guards against an unbounded buffer: an answer much larger than it must pass, and only as fast as the caller reads.
+TEST_CASE("an answer larger than the buffer is forwarded while it arrives", "[exchange]")
+{
+    const std::string body(std::size_t{ 3 } * 1024 * 1024, 'x');
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    });
+    DataFixture fixture(grantAll(target.port()));
+    BlockingConnection caller(fixture.port());
+    caller.write(requestText("GET /services/orders-app/x", "Connection: close\r\n", ""));
+    caller.readThrough("\r\n\r\n");
+    CHECK(caller.readToEnd().size() == body.size());
+}
