Add the harness for integration tests, and test the stand-ins with it

Tests of the product's guarantees need real processes, faults at known points and a reference that isn't the product's own counters. The harness starts processes by posix_spawn and ends all of them in destructors, so that a failing test leaves nothing running; it waits for conditions with deadlines and never for fixed times. Hosts can't report a port that the system picked, so their ports are drawn below the range of outgoing connections and checked to be free.

The stand-ins are checked first, because a fault that silently doesn't happen would make other tests pass.

--- a/standins/weightdownload.cpp
+++ b/standins/weightdownload.cpp
@@ -79,12 +79,11 @@
     m_parser->get().body().size = m_chunk.size();
     http::async_read(
         m_socket, m_buffer, *m_parser, [self = shared_from_this()](boost::system::error_code error, std::size_t) {
-            if (error && error != http::error::need_buffer) {
+            const bool hasFailed = error && error != http::error::need_buffer;
+            if (hasFailed || self->m_parser->get().result() != http::status::ok) {
                 self->retry();
             } else if (!self->m_parser->is_done()) {
                 self->readMore();
-            } else if (self->m_parser->get().result() != http::status::ok) {
-                self->retry();
             } else if (!self->m_isStopped) {
                 self->m_completed();
             }
--- /dev/null
+++ b/tests/integration/httpclient.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <array>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sapphirecove::integration {
+
+using Headers = std::map<std::string, std::string>;
+
+/** One HTTP call to a port of the loopback address. */
+struct HttpCall
+{
+    std::uint16_t port = 0;
+    std::string method = "GET";
+    std::string target = "/";
+    std::string body;
+    Headers headers;
+    std::chrono::milliseconds timeout = std::chrono::seconds(30); /**< of each step: connect, send, each read */
+};
+
+/** Server-sent event. */
+struct ServerEvent
+{
+    std::string id;
+    std::string data;
+};
+
+/** Connection with one call whose answer is read piece by piece. */
+class HttpStream
+{
+public:
+    explicit HttpStream(const HttpCall &call);
+
+    /** Status of the answer; 0 if the connection failed before the header was complete. */
+    int status() const
+    {
+        return m_status;
+    }
+    std::string header(const std::string &name) const;
+    const std::string &body() const
+    {
+        return m_body;
+    }
+    /** The answer arrived whole, as HTTP frames it. */
+    bool isComplete() const
+    {
+        return m_isComplete;
+    }
+
+    /** Reads one more piece; returns false at the end of the answer or after a failure. */
+    bool readMore();
+    void readAll();
+    /** Reads until the body has at least @p count events; returns whether it has. */
+    bool readEvents(std::size_t count);
+    /** Events received so far. */
+    std::vector<ServerEvent> events() const;
+
+private:
+    template <typename Start>
+    bool run(Start &&start);
+
+    boost::asio::io_context m_context{ 1 };
+    boost::beast::tcp_stream m_stream{ m_context };
+    boost::beast::flat_buffer m_buffer;
+    boost::beast::http::response_parser<boost::beast::http::buffer_body> m_parser;
+    std::array<char, 16384> m_piece{};
+    std::chrono::milliseconds m_timeout;
+    std::string m_body;
+    int m_status = 0;
+    bool m_isComplete = false;
+    bool m_isBroken = false;
+};
+
+/** Answer read to its end. */
+struct HttpAnswer
+{
+    int status = 0;
+    bool isComplete = false;
+    std::string body;
+    std::string contentType;
+    std::string retryAfter;
+
+    /** Body as JSON; null if it is none. */
+    boost::json::value json() const;
+};
+
+/** Makes a call and reads the whole answer. */
+HttpAnswer call(const HttpCall &call);
+
+/** Returns field @p name of a JSON object as text; empty if there is none. */
+std::string textField(const boost::json::value &value, const std::string &name);
+
+} // namespace sapphirecove::integration
--- /dev/null
+++ b/tests/integration/teststandins.cpp
@@ -0,0 +1,218 @@
+// The stand-ins are the reference of all other integration tests, so their own promises are checked first.
+#include "standins/answers.h"
+#include "tests/integration/chatcall.h"
+#include "tests/integration/standin.h"
+#include "tests/integration/waitfor.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirecove::integration;
+namespace json = boost::json;
+
+namespace {
+
+const char *const FastEngine = R"({"prefill_tokens_per_second":100000,"decode_tokens_per_second":1000})";
+
+/** Bytes of four blocks of the prefix cache, and of five tokens of an answer. */
+constexpr std::size_t FourBlocks = 4096;
+constexpr std::size_t FiveTokens = 20;
+
+ChatCall callOf(const Standin &engine, const std::string &prompt, int maxTokens)
+{
+    ChatCall call{ engine.port(), "", "m", prompt, maxTokens, true, {} };
+    call.headers["X-Request-Id"] = "request-" + sapphirecove::standins::bodyHash(prompt);
+    return call;
+}
+
+HttpAnswer append(std::uint16_t port, const std::string &record)
+{
+    return call({ port, "POST", "/v1/streams/claims/records", R"({"records":[)" + record + "]}", {} });
+}
+
+std::size_t recordsIn(std::uint16_t port)
+{
+    const auto answer = call({ port, "GET", "/v1/streams/claims/records?from=0" });
+    return answer.json().at("records").as_array().size();
+}
+
+} // namespace
+
+// Guards against tests that compare with a wrong reference: streamed, plain and resumed answers must agree.
+TEST_CASE("the engine's answers follow from prompt and length", "[standins]")
+{
+    const TempFolder folder;
+    const Standin engine(folder, "engine", { "--options", FastEngine });
+    auto plain = callOf(engine, "guest list", 12);
+    plain.isStreamed = false;
+    CHECK(chat(plain).isCorrect());
+    const auto streamed = callOf(engine, "guest list", 12);
+    CHECK(chat(streamed).isCorrect());
+
+    HttpStream rest({ engine.port(),
+                      "GET",
+                      "/v1/streams/" + streamed.headers.at("X-Request-Id"),
+                      {},
+                      { { "Last-Event-ID", "5" } } });
+    rest.readAll();
+    CHECK(outcomeOf(streamed, rest).content == outcomeOf(streamed, rest).expected.substr(FiveTokens));
+    CHECK(outcomeOf(streamed, rest).isComplete);
+}
+
+// Guards against counting work as wasted that the prefix cache saved, and against a cache without limit.
+TEST_CASE("the engine's prefix cache skips known blocks and reports them late", "[standins]")
+{
+    const TempFolder folder;
+    const Standin engine(
+        folder,
+        "engine",
+        { "--options", R"({"cache_blocks":4,"cache_event_lag_ms":0,"decode_tokens_per_second":1000})" });
+    const std::string prefix(FourBlocks, 'a');
+    CHECK(chat(callOf(engine, prefix + "first", 1)).isCorrect());
+    CHECK(chat(callOf(engine, prefix + "second", 1)).isCorrect());
+    CHECK(chat(callOf(engine, std::string(FourBlocks, 'b'), 1)).isCorrect());
+    CHECK(chat(callOf(engine, prefix + "third", 1)).isCorrect());
+    const auto records = engine.control("GET", "/standin/records").at("records").as_array();
+    CHECK(records[0].at("cached_tokens").as_int64() == 0);
+    CHECK(records[1].at("cached_tokens").as_int64() == 1024);
+    CHECK(records[3].at("cached_tokens").as_int64() == 0);
+    const auto events = call({ engine.port(), "GET", "/v1/cache_events?from=0" }).json();
+    CHECK(events.at("events").as_array()[0].at("kind").as_string() == "added");
+    CHECK(events.at("events").as_array()[0].at("hashes").as_array().size() == 3);
+    CHECK(events.at("events").as_array()[2].at("kind").as_string() == "removed");
+}
+
+// Guards against a batch that starts more requests than it has room for, and a cancel that keeps the slot.
+TEST_CASE("the engine admits in arrival order and frees the slot of a cancelled stream", "[standins]")
+{
+    const TempFolder folder;
+    const Standin engine(folder, "engine", { "--options", R"({"streams":1,"load_lag_ms":0})" });
+    const auto longCall = callOf(engine, "long", 100000);
+    HttpStream running(longCall.toHttp());
+    REQUIRE(running.readEvents(1));
+    const auto nextCall = callOf(engine, "next", 2);
+    HttpStream waiting(nextCall.toHttp());
+    REQUIRE(waitFor([&] {
+        return call({ engine.port(), "GET", "/v1/load" }).json().at("waiting").as_int64() == 1;
+    }));
+    const auto id = longCall.headers.at("X-Request-Id");
+    CHECK(call({ engine.port(), "POST", "/v1/streams/" + id + "/cancel" }).status == 200);
+    waiting.readAll();
+    CHECK(outcomeOf(nextCall, waiting).isCorrect());
+    CHECK(engine.records()[0].state == "cancelled");
+}
+
+// Guards against tests of fencing and of bad versions that pass because the stand-in has neither.
+TEST_CASE("orders load versions, check fencing, and faults follow the version", "[standins]")
+{
+    const TempFolder folder;
+    const Standin engine(
+        folder,
+        "engine",
+        { "--options",
+          R"({"load_time_ms":1,"decode_tokens_per_second":1000,"versions":{"v2":{"error_rate":1,"after_requests":1}}})" });
+    const auto order = [&](const std::string &version, int fencing) {
+        const auto body = json::serialize(
+            json::value{ { "order", "load_version" }, { "version", version }, { "fencing", fencing }, { "id", "1" } });
+        return call({ engine.port(), "POST", "/v1/orders", body, {} }).status;
+    };
+    CHECK(order("v2", 7) == 200);
+    CHECK(order("v1", 6) == 409);
+    REQUIRE(waitFor([&] {
+        return HttpStream(callOf(engine, "probe", 1).toHttp()).header("X-Version") == "v2";
+    }));
+    CHECK(chat(callOf(engine, "after", 1)).status == 500);
+    engine.setOptions({ { "checks_fencing", false } });
+    CHECK(order("v1", 6) == 200);
+    CHECK(waitFor([&] {
+        return chat(callOf(engine, "restored", 1)).isCorrect();
+    }));
+}
+
+// Guards against a log whose lost answers also lose the record, and against one that never refuses an append.
+TEST_CASE("the log keeps records whose answer is lost, and refuses above its rate", "[standins]")
+{
+    const TempFolder folder;
+    const Standin log(folder, "log", { "--options", R"({"appends_per_second":1})" });
+    log.setOptions({ { "lose_answers", 1 } });
+    CHECK(append(log.port(), "1").status == 0);
+    CHECK(recordsIn(log.port()) == 1);
+    CHECK(append(log.port(), "2").status == 429);
+    log.setOptions({ { "appends_per_second", 100000 }, { "outage", true } });
+    CHECK(append(log.port(), "3").status == 503);
+    log.setOptions({ { "outage", false }, { "stale_read_ms", 600000 } });
+    CHECK(append(log.port(), "4").json().at("offset").as_int64() == 1);
+    CHECK(recordsIn(log.port()) == 0);
+    log.setOptions({ { "stale_read_ms", 0 } });
+    CHECK(recordsIn(log.port()) == 2);
+}
+
+// Guards against a list without lag, which would hide decisions made on old entries.
+TEST_CASE("the host list shows a change only after its lag", "[standins]")
+{
+    const TempFolder folder;
+    folder.write("hosts.json", R"({"hosts":[],"targets":[{"id":"t","state":"live"}]})");
+    const Standin list(
+        folder, "hosts", { "--file", (folder / "hosts.json").string(), "--options", R"({"lag_ms":600000})" });
+    const auto state = [&] {
+        const auto answer = call({ list.port(), "GET", "/v1/hosts" }).json();
+        return textField(answer.at("targets").as_array()[0], "state");
+    };
+    list.control("POST", "/standin/targets/t", R"({"state":"leaving"})");
+    CHECK(state() == "live");
+    list.setOptions({ { "lag_ms", 0 } });
+    CHECK(state() == "leaving");
+}
+
+// Guards against an engine that takes a version into use before its weights have arrived.
+TEST_CASE("an engine loads a version from the weight store and waits out its outage", "[standins]")
+{
+    const TempFolder folder;
+    const Standin store(folder, "weights", { "--options", R"({"version_bytes":1000000,"outage":true})" });
+    const auto options = json::serialize(
+        json::value{ { "weights", "127.0.0.1:" + std::to_string(store.port()) }, { "load_lag_ms", 0 } });
+    const Standin engine(folder, "engine", { "--options", options });
+    call(
+        { engine.port(), "POST", "/v1/orders", R"({"order":"load_version","version":"v2","fencing":1,"id":"1"})", {} });
+    const auto report = [&] {
+        return call({ engine.port(), "GET", "/v1/load" }).json();
+    };
+    REQUIRE(waitFor([&] {
+        return textField(report(), "loading") == "v2";
+    }));
+    CHECK(textField(report(), "version") == "v1");
+    store.setOptions({ { "outage", false } });
+    CHECK(waitFor([&] {
+        return textField(report(), "version") == "v2";
+    }));
+    CHECK(store.control("GET", "/standin/records").at("bytes").as_int64() == 1000000);
+}
+
+// Guards against network faults that don't happen: a lost answer must leave the call executed.
+TEST_CASE("the proxy loses answers, freezes, cuts and refuses", "[standins]")
+{
+    const TempFolder folder;
+    const Standin service(folder, "service", {});
+    const Standin proxy(folder, "proxy", { "--route", "a=0=127.0.0.1:" + std::to_string(service.port()) }, 2);
+    const auto fault = [&](const std::string &options) {
+        proxy.control("POST", "/standin/routes/a", options);
+    };
+    const auto calls = [&] {
+        return service.records().size();
+    };
+    const HttpCall request{ proxy.port(1), "GET", "/status", {}, {}, std::chrono::milliseconds(300) };
+    CHECK(call(request).status == 200);
+    fault(R"({"lose_answers":true})");
+    CHECK(call(request).status == 0);
+    CHECK(calls() == 2);
+    fault(R"({"lose_answers":false,"drop_to_server":true})");
+    CHECK(call(request).status == 0);
+    CHECK(calls() == 2);
+    fault(R"({"drop_to_server":false,"freeze":true})");
+    CHECK(call(request).status == 0);
+    proxy.control("POST", "/standin/routes/a/cut");
+    fault(R"({"freeze":false,"refuse_new":true})");
+    CHECK(call(request).status == 0);
+    fault(R"({"refuse_new":false})");
+    CHECK(call(request).status == 200);
+    CHECK(calls() == 3);
+}
--- /dev/null
+++ b/tests/integration/waitfor.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chrono>
+#include <thread>
+
+namespace sapphirecove::integration {
+
+/** Deadline of a condition that a busy machine may reach late; it bounds a failing test, not a passing one. */
+constexpr auto GenerousDeadline = std::chrono::seconds(20);
+
+/** Waits until @p condition holds; returns whether it did before @p deadline passed. */
+template <typename Condition>
+bool waitFor(Condition &&condition, std::chrono::milliseconds deadline = GenerousDeadline)
+{
+    const auto end = std::chrono::steady_clock::now() + deadline;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return true;
+}
+
+} // namespace sapphirecove::integration
