--- a/src/coordination/leasetable.h
+++ b/src/coordination/leasetable.h
@@ -92,7 +92,10 @@
     /** Returns the record for an acquisition or renewal sent at @p now. */
     state::LeaseTaken take(const std::string &name, state::Time now);
 
-    /** Returns the record that gives a lease up and stops mayAct at once. */
+    /**
+     * Returns the record that gives a lease up and stops mayAct at once. This incarnation cannot hold the lease again:
+     * a record sent later could reach the log earlier, and the host would not see in time that it has lost the lease.
+     */
     state::LeaseTaken giveUp(const std::string &name, state::Time now);
 
 private:
--- /dev/null
+++ b/tests/coordination/simulatedlog.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "coordination/event.h"
+#include "state/logrecord.h"
+#include "state/time.h"
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace sapphirecove::tests {
+
+/** One stream of the platform's log in memory, with a network that loses, repeats and delays appends. */
+class SimulatedLog
+{
+public:
+    explicit SimulatedLog(std::uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    /** Sends an append; it is stored at once, twice, after up to @p longest, or never. */
+    void send(const state::LogRecord &record, state::Time now, state::Duration longest)
+    {
+        switch (pick(6)) {
+        case 0:
+            return;
+        case 1:
+            m_delayed.push_back({ now + delay(longest), record });
+            store(record, now);
+            return;
+        case 2:
+            m_delayed.push_back({ now + delay(longest), record });
+            return;
+        default:
+            store(record, now);
+        }
+    }
+
+    void store(const state::LogRecord &record, state::Time now)
+    {
+        records.push_back({ records.size(), now, record });
+    }
+
+    /** Stores delayed appends that are due and forgets records older than @p retention. */
+    void advance(state::Time now, state::Duration retention)
+    {
+        for (std::size_t i = 0; i < m_delayed.size(); ++i) {
+            if (m_delayed[i].due <= now) {
+                store(m_delayed[i].record, now);
+                m_delayed.erase(m_delayed.begin() + static_cast<std::ptrdiff_t>(i--));
+            }
+        }
+        while (first < records.size() && now - records[first].time > retention) {
+            ++first;
+        }
+    }
+
+    coordination::RecordsRead read(state::Offset from, std::size_t limit) const
+    {
+        const auto begin = std::min<std::size_t>(std::max(from, first), records.size());
+        const auto end = std::min(begin + limit, records.size());
+        coordination::RecordsRead result;
+        result.first = first;
+        result.next = end;
+        result.atEnd = end == records.size();
+        result.records.assign(records.begin() + static_cast<std::ptrdiff_t>(begin),
+                              records.begin() + static_cast<std::ptrdiff_t>(end));
+        return result;
+    }
+
+    /** Returns a number below @p bound. */
+    std::uint64_t pick(std::uint64_t bound)
+    {
+        return m_random() % bound;
+    }
+
+    state::Duration delay(state::Duration longest)
+    {
+        return state::Duration(static_cast<std::int64_t>(pick(static_cast<std::uint64_t>(longest.count()) + 1)));
+    }
+
+    std::vector<state::StoredRecord> records; /**< all that were ever stored */
+    state::Offset first = 0; /**< oldest offset kept */
+
+private:
+    struct Delayed
+    {
+        state::Time due{};
+        state::LogRecord record;
+    };
+
+    std::mt19937_64 m_random;
+    std::vector<Delayed> m_delayed;
+};
+
+} // namespace sapphirecove::tests
