Add idempotency claims

Need: a request with a key runs at most once within the log's retention time. A reader that started after the winner expired took a claim that had lost for the holder and freed the key when it expired. Change: claims that lost are in force until their owner releases them, so the verdict depends only on records within the retention time. Pending claims are abandoned when records were missed. Records are appended again until read back.

--- a/src/coordination/claimtable.h
+++ b/src/coordination/claimtable.h
@@ -21,13 +21,13 @@
     state::HostId host;
     state::Incarnation incarnation = 0;
     state::Duration retention = std::chrono::hours(24); /**< not longer than the log keeps records */
-    std::size_t maxKeys = 300'000; /**< new claims of this host are refused above this */
+    std::size_t maxClaims = 300'000; /**< claims in force, above which new claims of this host are refused */
 };
 
 /** State of an idempotency key. */
 enum class KeyState {
     Free,
-    Held, /**< claimed; the request may run or have run */
+    Held, /**< a claim is in force; its request may run or have run */
     Finished,
 };
 
@@ -43,7 +43,7 @@
 
 /** Result of one of this host's own claims. */
 enum class ClaimResult {
-    Unknown, /**< never proposed, or already ended */
+    Unknown, /**< never proposed, already ended, or abandoned because records were missed */
     Pending, /**< not read back from the log yet */
     Won,
     Lost,
@@ -52,10 +52,12 @@
 /**
  * Idempotency keys within the retention time of the log, and this host's own claims on them.
  *
- * A claim wins if no other claim holds its key at its position in the log. The verdict never changes: a claim that lost
- * stays lost even if the winner is released later. A key is free again when its holder's claim is released or when a
- * later claim's record is more than the retention time younger. Times are those of the log records, so all readers
- * agree. A record that names a claim id that was read before has no effect.
+ * A claim wins if, at its position in the log, no other claim on its key is in force. A claim is in force from its
+ * record until it is released, or until records are more than the retention time younger; times are those of the log
+ * records. Claims that lost are in force too, so the verdict depends only on records within the retention time: a
+ * reader that starts later, for which earlier records have expired, may see a key as held that is free, but never one
+ * as free that is held. The owner of a claim that lost therefore releases it. A verdict never changes, and a record
+ * that names a claim id that was read before has no effect.
  *
  * Records of this host are appended again until they are read back, since the answer to an append can be lost.
  */
@@ -70,13 +72,27 @@
     static constexpr state::Duration RepeatInterval = std::chrono::milliseconds(500);
     /** Most own claims that have not ended. */
     static constexpr std::size_t MaxOwnClaims = 8192;
-    /** Most releases and results that wait to be read back; the oldest are dropped, and their keys stay held. */
+    /** Most releases and results that wait to be read back; further ones are dropped, and their keys stay held. */
     static constexpr std::size_t MaxUnconfirmed = 8192;
     /** Longest wait between appends while the log refuses them. */
     static constexpr state::Duration MaxBackoff = std::chrono::seconds(1);
 
     static ClaimTable create(const ClaimTableOptions &options);
 
+    // Entries refer to elements of m_owners, which a copy would not own.
+    ClaimTable(const ClaimTable &) = delete;
+    ClaimTable &operator=(const ClaimTable &) = delete;
+    ClaimTable(ClaimTable &&) = default;
+    ClaimTable &operator=(ClaimTable &&) = default;
+    ~ClaimTable() = default;
+
+    /**
+     * Starts the handling of a read; @p first is the oldest offset that the log keeps. If records were missed, pending
+     * own claims are abandoned: a claim that expired unread may hold their keys. A claim that is proposed later is
+     * safe, since its record will be more than the retention time younger than all records that were missed.
+     */
+    void readFrom(state::Offset first);
+
     /** Takes the next record of the stream; records before readPosition() and of other streams are ignored. */
     void apply(const state::StoredRecord &stored);
 
@@ -89,28 +105,29 @@
     /** Returns whether the stream was read to its end once since start. Until then view() may miss claims. */
     bool isCaughtUp() const;
 
-    /** Returns what the log says of a key, as of the time of the last record read. */
+    /**
+     * Returns what the log says of a key, as of the last record read: the oldest claim in force. A request whose key is
+     * not Free can be answered without a claim of its own.
+     */
     KeyView view(const state::CustomerId &customer, std::string_view key) const;
 
     /**
-     * Queues a claim of this host. Returns false if the table is full or the id is in use; the request must then be
-     * rejected. The caller may dispatch only after result() says Won, and must end the claim with abandon or finish.
+     * Queues a claim of this host. Returns false if the table is full, the stream was never read to its end or the id
+     * is in use; the request must then be rejected. The caller may dispatch only while result() says Won, and must end
+     * the claim with abandon or finish.
      */
-    bool propose(const state::ClaimId &claim, const state::CustomerId &customer, std::string_view key, state::Time now);
+    bool propose(const state::ClaimId &claim, const state::CustomerId &customer, std::string_view key);
 
     /** Returns the result of an own claim that has not ended. */
     ClaimResult result(const state::ClaimId &claim) const;
 
-    /**
-     * Ends an own claim whose request was never dispatched and never will be. If the claim holds the key, now or when a
-     * late append arrives, it is released.
-     */
+    /** Ends an own claim whose request was never dispatched and never will be. It is released once it was read back. */
     void abandon(const state::ClaimId &claim);
 
     /** Ends an own claim whose request was dispatched; @p status is the HTTP status sent to the caller. */
     void finish(const state::ClaimId &claim, int status);
 
-    /** Returns own claims that hold a key without a request and whose release has not been read back. */
+    /** Returns own claims that are in force without a request, whose release has not been read back. */
     std::vector<state::ClaimId> unusedClaims() const;
 
     /** Returns the records for the next append; empty if none is due. */
@@ -119,7 +136,7 @@
     /** Delays the next append after the log refused one or did not answer. */
     void appendFailed(state::Time now);
 
-    /** Returns the number of keys in the table. */
+    /** Returns the number of claims in force. */
     std::size_t size() const;
 
 private:
@@ -137,63 +154,66 @@
             return key.low;
         }
     };
+    /** Owners of the claims in force, with the number of their claims. */
+    using Owners = std::map<std::pair<state::HostId, state::Incarnation>, std::size_t>;
     struct Entry
     {
         state::ClaimId claim;
-        state::Time claimedAt{}; /**< log time */
-        std::uint32_t owner = 0; /**< index into m_owners */
+        Owners::iterator owner;
         std::int16_t status = 0;
-        KeyState state = KeyState::Free;
+        KeyState state = KeyState::Held;
     };
+    /** Claims in force on each key, in log order. */
+    using KeyMap = std::unordered_map<KeyHash, std::vector<Entry>, KeyHasher>;
     struct Expiry
     {
-        state::Time time{};
+        state::Time time{}; /**< log time of the claim */
         KeyHash key;
-    };
-    struct Owner
-    {
-        state::HostId host;
-        state::Incarnation incarnation = 0;
+        std::uint64_t claim = 0; /**< hash of the claim id */
     };
     struct OwnClaim
     {
         state::ClaimMade record;
-        std::optional<state::Time> sent;
         ClaimResult result = ClaimResult::Pending;
-        bool abandoned = false;
     };
-    /** Release or result that has not been read back. */
-    struct Unconfirmed
+    /** Claims whose records are to be appended: first the new ones, then those due again. */
+    struct Outbox
     {
-        state::LogRecord record;
-        std::optional<state::Time> sent;
+        std::deque<state::ClaimId> fresh;
+        std::deque<std::pair<state::Time, state::ClaimId>> repeats; /**< in order of time */
+
+        std::optional<state::ClaimId> next(state::Time now);
+        void sent(const state::ClaimId &claim, state::Time now);
     };
 
     explicit ClaimTable(const ClaimTableOptions &options);
 
     static KeyHash hashOf(std::string_view customer, std::string_view key);
-    void applyClaim(const state::ClaimMade &claim, state::Time time);
+    void applyClaim(const state::ClaimMade &claim);
     void applyReleased(const state::ClaimReleased &released);
     void applyFinished(const state::ClaimFinished &finished);
-    bool isRepeated(const state::ClaimMade &claim, state::Time time);
     void resolveOwn(const state::ClaimMade &claim, bool won);
+    bool isOwn(const state::ClaimMade &claim) const;
+    Entry *find(const KeyHash &key, const state::ClaimId &claim);
     void release(const state::ClaimMade &claim);
     void confirm(const state::ClaimId &claim);
     void addUnconfirmed(const state::ClaimId &claim, state::LogRecord record);
     void expire(state::Time time);
-    std::uint32_t ownerIndex(const state::HostId &host, state::Incarnation incarnation);
+    void remove(const KeyHash &key, std::uint64_t claim);
     void takeClaims(state::Time now, std::vector<state::LogRecord> &batch);
     void takeUnconfirmed(state::Time now, std::vector<state::LogRecord> &batch);
 
     ClaimTableOptions m_options;
-    std::unordered_map<KeyHash, Entry, KeyHasher> m_keys;
+    Owners m_owners;
+    KeyMap m_keys;
+    std::size_t m_size = 0;
     std::deque<Expiry> m_expiry; /**< in order of time */
-    std::vector<Owner> m_owners;
-    std::map<std::pair<state::HostId, state::Incarnation>, std::uint32_t> m_ownerIndex;
     std::unordered_map<std::uint64_t, state::Time> m_released; /**< hash of each released claim id, log time */
     std::deque<std::pair<state::Time, std::uint64_t>> m_releasedExpiry;
     std::map<state::ClaimId, OwnClaim> m_own;
-    std::map<state::ClaimId, Unconfirmed> m_unconfirmed;
+    std::map<state::ClaimId, state::LogRecord> m_unconfirmed; /**< releases and results not read back */
+    Outbox m_claimOutbox;
+    Outbox m_endOutbox;
     state::Offset m_position = 0;
     state::Time m_logTime{};
     bool m_caughtUp = false;
