--- a/src/coordination/configurationfollower.h
+++ b/src/coordination/configurationfollower.h
@@ -52,7 +52,7 @@
     static constexpr state::Duration PeerAheadTime = std::chrono::seconds(1);
 
     /** @p checker must outlive the follower. */
-    static ConfigurationFollower create(const state::HostId &host, const DocumentChecker &checker);
+    static ConfigurationFollower create(const DocumentChecker &checker);
 
     /** Starts the handling of a read; @p first is the oldest offset that the log keeps. */
     void readFrom(state::Offset first);
@@ -135,29 +135,23 @@
         std::optional<state::Time> carriedAt; /**< log time of the last record that carried it */
     };
 
-    ConfigurationFollower(const state::HostId &host, const DocumentChecker &checker);
+    explicit ConfigurationFollower(const DocumentChecker &checker);
 
-    void judge(const state::StoredRecord &stored, state::Time now, std::vector<ConfigurationOutcome> &outcomes);
-    void
-    judgePublished(const state::StoredRecord &stored, state::Time now, std::vector<ConfigurationOutcome> &outcomes);
-    void judgeCheckpoint(const state::StoredRecord &stored, std::vector<ConfigurationOutcome> &outcomes);
-    void
-    applyUnsettled(const state::StoredRecord &stored, state::Time now, std::vector<ConfigurationOutcome> &outcomes);
+    using Outcomes = std::vector<ConfigurationOutcome>;
+
+    void judge(const state::StoredRecord &stored, state::Time now, Outcomes &outcomes);
+    void judgePublished(const state::StoredRecord &stored, Outcomes &outcomes);
+    void judgeCheckpoint(const state::StoredRecord &stored, state::Time now, Outcomes &outcomes);
+    void applyUnsettled(const state::StoredRecord &stored, state::Time now, Outcomes &outcomes);
     void keepPending(const state::StoredRecord &stored);
-    void dropPending();
-    void
-    settle(const Version &version, state::Offset offset, state::Time now, std::vector<ConfigurationOutcome> &outcomes);
-    bool adopt(const Version &version,
-               const std::string &source,
-               state::Time now,
-               std::vector<ConfigurationOutcome> &outcomes);
-    void remember(const PublicationStatus &publication);
+    void settle(const Version &version, state::Offset offset, state::Time now, Outcomes &outcomes);
+    void adopt(const Version &version, const std::string &source, state::Time now, Outcomes &outcomes);
+    bool remember(const PublicationStatus &publication);
     void noteCarried(state::Generation generation, state::Time time);
     std::optional<Version> checked(const Version &version, std::string &problem) const;
     void restartIfEmpty(state::Offset next);
     void updateReadiness();
 
-    state::HostId m_host;
     const DocumentChecker *m_checker;
     Version m_inForce;
     Version m_logState; /**< generation at m_position, if exact */
@@ -172,6 +166,7 @@
     bool m_settled = false;
     bool m_ready = false;
     bool m_atEnd = false;
+    std::optional<state::Time> m_readAt; /**< own time at which the end of the stream was last read */
     std::optional<state::Time> m_behindSince;
     std::optional<state::Time> m_lastRequest;
     std::optional<state::Time> m_lastCheckpoint;
