Add the fair queue, the tier gate, the target model and the placement policies

Need: the arbiter is built from these four modules, and the coordinator needs the gate for its heartbeats. Ruled out: dropping all predicted prefixes after a gap in the cache events (a wrong guess costs one prefill, an empty prediction costs all of them); letting an acknowledgement count for the whole life of a floor (a floor extended just before its end would be unknown to the peers). Change: the modules and their tests. A shed past a peer that does not acknowledge waits one second from the raise of the floor, not only from the peer's last acknowledgement: a peer whose answers are lost restricts itself only 0.6 s after it last heard from the shedding host.

--- a/src/coordination/fairqueue.h
+++ b/src/coordination/fairqueue.h
@@ -75,6 +75,9 @@
      */
     const WaitingAsk *victim() const;
 
+    /** Returns the request with the earliest latest start, or a null pointer if the queue is empty. */
+    const WaitingAsk *earliestLatestStart() const;
+
     /** Returns the lowest tier (the highest number) that waits. */
     std::optional<state::Tier> lowestTier() const;
 
@@ -106,6 +109,10 @@
     {
         bool operator()(const Entry *left, const Entry *right) const;
     };
+    struct EarlierLatestStart
+    {
+        bool operator()(const Entry *left, const Entry *right) const;
+    };
     struct EarlierStart
     {
         bool operator()(const Share *left, const Share *right) const;
@@ -124,6 +131,7 @@
 
     std::unordered_map<state::RequestId, std::unique_ptr<Entry>> m_entries;
     std::map<state::Tier, std::unique_ptr<Level>> m_levels; // only tiers that have been used
+    std::set<const Entry *, EarlierLatestStart> m_byLatestStart;
     std::unordered_map<state::CustomerId, double> m_weights;
     std::uint64_t m_nextSequence = 0;
 };
--- /dev/null
+++ b/src/coordination/placement/leastoutstandingplacement.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "coordination/placement/placement.h"
+
+namespace sapphirecove::coordination::placement {
+
+/** Baseline: selects the target with the fewest streams; of equal ones the first. */
+class LeastOutstandingPlacement : public Placement
+{
+public:
+    std::optional<std::size_t>
+    choose(std::span<const Candidate> candidates, const SlotAsk &ask, state::Time now, Random &random) override;
+};
+
+} // namespace sapphirecove::coordination::placement
--- a/src/coordination/targetmodel.h
+++ b/src/coordination/targetmodel.h
@@ -26,8 +26,10 @@
 struct PlannedWork
 {
     std::uint32_t prefillTokens = 0; /**< prompt tokens not expected in the prefix cache */
+    state::Duration firstToken{}; /**< expected; zero if it was not estimated */
     state::Time prefillDone{}; /**< expected */
     state::Time end{}; /**< expected */
+    bool probe = false; /**< granted while the target was probing */
 };
 
 /** Model of one target: learned speed, outstanding work, cached prefixes and health. */
@@ -79,7 +81,7 @@
     /** Returns the streams granted by this arbiter. */
     int grantedStreams() const;
 
-    /** Returns the streams that can be granted at once, 1 while probing and 0 while ejected. */
+    /** Returns the configured number of streams, or 0 while ejected. */
     int streamLimit() const;
 
     /** Accounts for a granted request and predicts the prefixes that its prompt leaves in the cache. */
@@ -94,6 +96,9 @@
     /** Frees the slot of a request whose end was not reported; nothing is learned. */
     void expired(const PlannedWork &work, state::Time now);
 
+    /** Forgets all outstanding work; what was learned stays. */
+    void forgetWork();
+
     /** Corrects the number of streams; reports older than the history or than the last one are ignored. */
     void loadReported(state::Time measuredAt, std::uint32_t running, std::uint32_t waiting, state::Time now);
 
@@ -141,10 +146,12 @@
 
     TargetModel(state::PoolKind kind, const state::TargetCapacity &capacity);
 
-    void learnSpeed(const SlotRelease &release);
-    void learnHealth(const SlotRelease &release, state::Time now);
+    void learnSpeed(const PlannedWork &work, const SlotRelease &release);
+    void learnPrefill(const PlannedWork &work, const SlotRelease &release, double weight);
+    void learnHealth(const PlannedWork &work, const SlotRelease &release, state::Time now);
+    void end(const PlannedWork &work, state::Time now);
     void changeStreams(int change, state::Time now);
-    void addPrefill(PlannedWork &work, state::Time now);
+    PlannedWork begin(std::uint32_t prefillTokens, double outputTokens, state::Time now);
     void removePrefill(const PlannedWork &work, state::Time now);
     std::optional<int> streamsAt(state::Time time) const;
 
@@ -157,11 +164,13 @@
     int m_streams = 0;
     state::Time m_prefillBusyUntil{};
     std::deque<HistoryEntry> m_history;
+    bool m_historyTruncated = false;
     state::Time m_reportMeasuredAt{};
     state::Time m_reportReceivedAt{};
     int m_otherStreams = 0;
     PrefixCache m_prefixes;
     Health m_health = Health::Normal;
+    bool m_probeOutstanding = false;
     state::Time m_ejectedAt{};
     int m_consecutiveFailures = 0;
     double m_errorRate = 0;
--- /dev/null
+++ b/src/coordination/tiergate.cpp
@@ -0,0 +1,149 @@
+#include "coordination/tiergate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirecove::coordination {
+
+namespace {
+
+/** Announcements kept of one floor; at 200 ms between heartbeats they reach back over three seconds. */
+constexpr std::size_t MaximumAnnouncements = 16;
+
+} // namespace
+
+TierGate::TierGate(state::HostId self)
+    : m_self(std::move(self))
+{
+}
+
+state::Result<std::unique_ptr<TierGate>> TierGate::create(const state::HostId &self)
+{
+    if (self.empty()) {
+        return state::fail("tiergate.create", "", "the host has no name");
+    }
+    return std::unique_ptr<TierGate>(new TierGate(self));
+}
+
+void TierGate::setPeers(std::span<const state::HostId> peers, state::Time now)
+{
+    std::map<state::HostId, Peer> listed;
+    for (const state::HostId &peer : peers) {
+        if (peer == m_self) {
+            continue;
+        }
+        const auto known = m_peers.find(peer);
+        listed[peer] = known == m_peers.end() ? Peer{ .lastHeard = now, .lastAcknowledgement = now } : known->second;
+    }
+    m_peers = std::move(listed);
+}
+
+void TierGate::heartbeatSent(std::uint64_t sequence, state::Time now)
+{
+    for (auto &[pool, floors] : m_own) {
+        std::erase_if(floors, [&](const auto &floor) {
+            return floor.second.expires <= now;
+        });
+        for (auto &[tier, floor] : floors) {
+            floor.announcements.push_back({ .heartbeat = sequence, .expires = floor.expires });
+            if (floor.announcements.size() > MaximumAnnouncements) {
+                floor.announcements.pop_front();
+            }
+        }
+    }
+}
+
+void TierGate::heartbeatReceived(const state::HostId &from, const Heartbeat &heartbeat, state::Time now)
+{
+    // A floor only ever grows: an old heartbeat that arrives late must not lift a floor announced since.
+    for (const TierFloor &floor : heartbeat.floors) {
+        state::Time &expires = m_received[floor.pool][floor.tier];
+        expires = std::max(expires, now + std::min(floor.remaining, FloorDuration));
+    }
+    const auto position = m_peers.find(from);
+    if (position == m_peers.end()) {
+        return;
+    }
+    Peer &peer = position->second;
+    peer.lastHeard = now;
+    if (heartbeat.acknowledged > peer.acknowledged) {
+        peer.lastAcknowledgement = now;
+    }
+    // A lower number comes from a peer that has restarted and no longer knows the floors.
+    peer.acknowledged = heartbeat.acknowledged;
+}
+
+state::Tier TierGate::lowestGrantable(const state::PoolId &pool, state::Time now) const
+{
+    if (isAnyPeerQuiet(now)) {
+        return 0;
+    }
+    state::Tier lowest = NoFloor;
+    if (const auto own = m_own.find(pool); own != m_own.end()) {
+        for (const auto &[tier, floor] : own->second) {
+            lowest = floor.expires > now ? std::min(lowest, tier) : lowest;
+        }
+    }
+    if (const auto received = m_received.find(pool); received != m_received.end()) {
+        for (const auto &[tier, expires] : received->second) {
+            lowest = expires > now ? std::min(lowest, tier) : lowest;
+        }
+    }
+    return lowest;
+}
+
+bool TierGate::mayShed(const state::PoolId &pool, state::Tier tier, state::Time now)
+{
+    OwnFloor &floor = m_own[pool][tier];
+    if (floor.expires <= now) {
+        floor = OwnFloor{ .sequence = ++m_floorSequence, .raisedAt = now };
+    }
+    floor.expires = now + FloorDuration;
+    return isConfirmed(floor, now);
+}
+
+std::vector<TierFloor> TierGate::floors(state::Time now) const
+{
+    std::vector<TierFloor> result;
+    for (const auto &[pool, floors] : m_own) {
+        for (const auto &[tier, floor] : floors) {
+            if (floor.expires > now) {
+                result.push_back(
+                    { .pool = pool, .tier = tier, .sequence = floor.sequence, .remaining = floor.expires - now });
+            }
+        }
+    }
+    return result;
+}
+
+bool TierGate::isConfirmed(const OwnFloor &floor, state::Time now) const
+{
+    return std::ranges::all_of(m_peers, [&](const auto &peer) {
+        return hasConfirmed(peer.second, floor, now);
+    });
+}
+
+bool TierGate::hasConfirmed(const Peer &peer, const OwnFloor &floor, state::Time now)
+{
+    if (now - peer.lastHeard >= QuietUntil) {
+        return true;
+    }
+    // The wait starts at the raise: a peer whose answers are lost may have heard an earlier heartbeat just now, and
+    // stops granting lower tiers by itself only QuietAfter later.
+    if (now - std::max(peer.lastAcknowledgement, floor.raisedAt) >= AcknowledgeTimeout) {
+        return true;
+    }
+    return std::ranges::any_of(floor.announcements, [&](const Announcement &announcement) {
+        return announcement.heartbeat == peer.acknowledged && announcement.expires >= now + ConfirmedReserve;
+    });
+}
+
+bool TierGate::isAnyPeerQuiet(state::Time now) const
+{
+    return std::ranges::any_of(m_peers, [&](const auto &peer) {
+        const state::Duration silence = now - peer.second.lastHeard;
+        return silence >= QuietAfter && silence < QuietUntil;
+    });
+}
+
+} // namespace sapphirecove::coordination
--- a/src/coordination/tiergate.h
+++ b/src/coordination/tiergate.h
@@ -6,10 +6,10 @@
 #include "state/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <map>
 #include <memory>
-#include <optional>
 #include <span>
 #include <vector>
 
@@ -32,6 +32,8 @@
     static constexpr state::Duration QuietAfter = std::chrono::milliseconds(600);
     /** Silence of a listed peer after which it no longer restricts grants. */
     static constexpr state::Duration QuietUntil = std::chrono::seconds(5);
+    /** Time for which a confirmed floor must still hold at a peer when a tier is shed. */
+    static constexpr state::Duration ConfirmedReserve = std::chrono::seconds(1);
     /** Floor that excludes no tier. */
     static constexpr state::Tier NoFloor = std::numeric_limits<state::Tier>::max();
 
@@ -41,7 +43,10 @@
     /** Replaces the listed peers; @p peers may contain the host itself, which is ignored. */
     void setPeers(std::span<const state::HostId> peers, state::Time now);
 
-    /** Notes that heartbeat @p sequence was handed to the transport layer for every listed peer. */
+    /**
+     * Notes that heartbeat @p sequence with the result of floors(@p now) goes to every listed peer.
+     * No other call may come between floors() and this one.
+     */
     void heartbeatSent(std::uint64_t sequence, state::Time now);
 
     /** Takes over the floors and the acknowledged sequence of a peer's heartbeat. */
@@ -63,38 +68,36 @@
 private:
     struct Peer
     {
-        state::Time since{}; /**< start of the present contact or of the listing */
-        state::Time lastHeard{};
-        state::Time lastAcknowledgement{}; /**< last heartbeat that acknowledged a new sequence */
+        state::Time lastHeard{}; /**< or start of the listing */
+        state::Time lastAcknowledgement{}; /**< of a sequence not acknowledged before, or start of the listing */
         std::uint64_t acknowledged = 0;
     };
 
-    struct OwnFloor
+    /** What one heartbeat said about a floor. */
+    struct Announcement
     {
-        state::Tier tier = 0;
-        std::uint64_t sequence = 0;
-        state::Time raisedAt{};
+        std::uint64_t heartbeat = 0;
         state::Time expires{};
-        std::uint64_t firstHeartbeat = 0; /**< lowest heartbeat sequence that carries it */
     };
 
-    struct PeerFloor
+    struct OwnFloor
     {
-        state::Tier tier = 0;
         std::uint64_t sequence = 0;
+        state::Time raisedAt{};
         state::Time expires{};
+        std::deque<Announcement> announcements;
     };
 
     explicit TierGate(state::HostId self);
 
-    bool confirmedByAll(const OwnFloor &floor, state::Time now) const;
-    bool anyPeerQuiet(state::Time now) const;
+    bool isConfirmed(const OwnFloor &floor, state::Time now) const;
+    static bool hasConfirmed(const Peer &peer, const OwnFloor &floor, state::Time now);
+    bool isAnyPeerQuiet(state::Time now) const;
 
     state::HostId m_self;
     std::map<state::HostId, Peer> m_peers;
     std::map<state::PoolId, std::map<state::Tier, OwnFloor>> m_own;
-    std::map<state::PoolId, std::map<state::HostId, std::vector<PeerFloor>>> m_received;
-    std::uint64_t m_lastSent = 0;
+    std::map<state::PoolId, std::map<state::Tier, state::Time>> m_received; // time at which the floor expires
     std::uint64_t m_floorSequence = 0;
 };
 
--- a/src/coordination/waitingask.h
+++ b/src/coordination/waitingask.h
@@ -12,7 +12,8 @@
     SlotAsk ask;
     state::HostId from; /**< entry host that sent it */
     state::Time queuedAt{};
-    double serviceSeconds = 0; /**< estimated time from dispatch to the end on an idle target */
+    double serviceSeconds = 0; /**< estimated time from dispatch to the end on a typical idle target */
+    state::Time latestStart{}; /**< after it even the fastest target could not finish in time */
 };
 
 } // namespace sapphirecove::coordination
