Follow the final interfaces of the claim table and the configuration follower

Cause: the claim table gained readFrom(), which abandons pending claims after missed records, and the follower no longer needs the host's name. Change: the host passes the log's oldest offset on, and a claim that was abandoned that way is refused with claims_unavailable. Treating it as lost would have told the caller that another request holds the key.

--- a/src/coordination/hostcoordinator.cpp
+++ b/src/coordination/hostcoordinator.cpp
@@ -9,6 +9,20 @@
 // Status in the log of a request that was dispatched and whose answer was cut off.
 constexpr int UnknownStatus = 0;
 
+ClaimOutcome outcomeOf(ClaimResult result)
+{
+    switch (result) {
+    case ClaimResult::Won:
+        return ClaimOutcome::Won;
+    case ClaimResult::Lost:
+        return ClaimOutcome::Lost;
+    case ClaimResult::Unknown:
+    case ClaimResult::Pending:
+        break;
+    }
+    return ClaimOutcome::Unavailable;
+}
+
 } // namespace
 
 state::Result<std::unique_ptr<Coordinator>> Coordinator::create(const CoordinatorOptions &options,
@@ -259,7 +273,7 @@
     return m_directory.arbiterOf(group);
 }
 
-KeyVerdict HostCoordinator::claimKey(const RequestInfo &request, state::Time now)
+KeyVerdict HostCoordinator::claimKey(const RequestInfo &request, state::Time)
 {
     ClaimTable &claims = m_log.claims();
     const std::string &key = request.idempotencyKey.value();
@@ -272,7 +286,7 @@
             return KeyVerdict::InProgress;
         }
     }
-    return claims.propose(request.id, request.customer, key, now) ? KeyVerdict::Free : KeyVerdict::Unavailable;
+    return claims.propose(request.id, request.customer, key) ? KeyVerdict::Free : KeyVerdict::Unavailable;
 }
 
 void HostCoordinator::releaseKey(const RequestInfo &request, state::Time)
@@ -330,7 +344,7 @@
             continue;
         }
         claim = m_claiming.erase(claim);
-        m_requests.claimResolved(id, result == ClaimResult::Won ? ClaimOutcome::Won : ClaimOutcome::Lost, now);
+        m_requests.claimResolved(id, outcomeOf(result), now);
     }
 }
 
--- a/src/coordination/logduties.cpp
+++ b/src/coordination/logduties.cpp
@@ -31,7 +31,7 @@
 
 LogDuties::LogDuties(const CoordinatorOptions &options, const DocumentChecker &checker)
     : m_options(options)
-    , m_configuration(ConfigurationFollower::create(options.host, checker))
+    , m_configuration(ConfigurationFollower::create(checker))
     , m_claims(ClaimTable::create(claimOptions(options)))
     , m_leases(LeaseTable::create(options.host, options.incarnation))
     , m_versions(VersionController::create(options.host, options.incarnation))
@@ -142,6 +142,7 @@
         applyConfiguration(read, now);
         return;
     case state::Stream::Claims:
+        m_claims.readFrom(read.first);
         for (const state::StoredRecord &stored : read.records) {
             m_claims.apply(stored);
         }
--- a/src/coordination/requesttable.cpp
+++ b/src/coordination/requesttable.cpp
@@ -82,7 +82,7 @@
     const RequestInfo info = found->second.info;
     remove(info.id);
     m_effects.releaseKey(info, now);
-    refuseKeyConflict(info, KeyVerdict::InProgress);
+    refuseKeyConflict(info, outcome == ClaimOutcome::Lost ? KeyVerdict::InProgress : KeyVerdict::Unavailable);
 }
 
 void RequestTable::granted(const state::HostId &from, const SlotGrant &grant, bool targetUsable, state::Time now)
--- a/src/coordination/requesttable.h
+++ b/src/coordination/requesttable.h
@@ -18,6 +18,7 @@
 enum class ClaimOutcome {
     Won,
     Lost,
+    Unavailable, /**< records were missed, so the key may be held unseen */
 };
 
 /** Totals since the start of the host. */
