--- a/src/coordination/arbiteroptions.h
+++ b/src/coordination/arbiteroptions.h
@@ -40,7 +40,7 @@
     state::TargetId id;
     std::string failureDomain;
     state::TargetCapacity capacity;
-    state::VersionName version; /**< assumed until a load report or a release names another */
+    state::VersionName version; /**< assumed until a load report names another */
     TargetListing listing = TargetListing::Live; /**< only live targets get new work */
 };
 
--- a/src/coordination/targetmodel.cpp
+++ b/src/coordination/targetmodel.cpp
@@ -264,6 +264,11 @@
     m_ejectedAt = now;
     m_probeOutstanding = false;
     m_prefixes.clear();
+    // Otherwise the learned speed of a slow target would keep the probe away from it.
+    m_prefillRate = m_capacity.prefillTokensPerSecond;
+    m_decodeRate = m_capacity.decodeTokensPerSecond;
+    m_serviceSeconds = state::toSeconds(m_capacity.serviceTime);
+    m_speedSamples = 0;
 }
 
 void TargetModel::readmit()
--- /dev/null
+++ b/src/coordination/versionshares.cpp
@@ -0,0 +1,68 @@
+#include "coordination/versionshares.h"
+
+#include <algorithm>
+
+namespace sapphirecove::coordination {
+
+namespace {
+
+/** Credit that a version can save while it has no room; more would let it get a burst afterwards. */
+constexpr double MaximumCredit = 2;
+
+constexpr int PerMille = 1000;
+
+/** Rounding of summed shares must not withhold a grant that is due. */
+constexpr double Tolerance = 1e-9;
+
+} // namespace
+
+void VersionShares::setWeights(std::span<const VersionWeight> weights)
+{
+    std::map<state::VersionName, Limit> limits;
+    for (const VersionWeight &weight : weights) {
+        if (!weight.halted && weight.sharePerMille >= PerMille) {
+            continue;
+        }
+        Limit limit;
+        limit.share = weight.halted ? 0 : std::max(0, weight.sharePerMille) / static_cast<double>(PerMille);
+        const auto previous = m_limits.find(weight.version);
+        limit.credit = limit.share == 0 || previous == m_limits.end() ? 0 : previous->second.credit;
+        limits[weight.version] = limit;
+    }
+    m_limits = std::move(limits);
+}
+
+bool VersionShares::isUnlimited(const state::VersionName &version) const
+{
+    return !m_limits.contains(version);
+}
+
+bool VersionShares::mayGrant(const state::VersionName &version) const
+{
+    return isUnlimited(version) || isDue(version);
+}
+
+bool VersionShares::canEarn(const state::VersionName &version) const
+{
+    const auto limit = m_limits.find(version);
+    return limit == m_limits.end() || limit->second.share > 0;
+}
+
+bool VersionShares::isDue(const state::VersionName &version) const
+{
+    const auto limit = m_limits.find(version);
+    return limit != m_limits.end() && limit->second.credit >= 1 - Tolerance;
+}
+
+void VersionShares::granted(const state::VersionName &version)
+{
+    for (auto &[name, limit] : m_limits) {
+        limit.credit = std::min(MaximumCredit, limit.credit + limit.share);
+    }
+    const auto limit = m_limits.find(version);
+    if (limit != m_limits.end()) {
+        limit->second.credit -= 1;
+    }
+}
+
+} // namespace sapphirecove::coordination
