--- /dev/null
+++ b/src/cli/exitcode.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace sapphirecove::cli {
+
+/** Exit codes of all commands (section 8.4 of the design). */
+enum class ExitCode {
+    Success = 0,
+    Failed = 1, /**< the operation failed or was not accepted */
+    Usage = 2,
+    Problems = 3, /**< found in settings or configuration */
+    OutcomeUnknown = 4,
+    NotYetInForce = 5, /**< accepted, but not yet in force on every live host */
+};
+
+} // namespace sapphirecove::cli
--- a/src/protocol/configurationsections.cpp
+++ b/src/protocol/configurationsections.cpp
@@ -38,8 +38,10 @@
         reader.readMilliseconds("service_time_ms", capacity.serviceTime, ServiceTimeBounds, Presence::Optional);
     } else {
         reader.readInteger("prefill_tokens", capacity.prefillTokens, PrefillTokenBounds, Presence::Optional);
-        reader.readNumber("prefill_tokens_per_second", capacity.prefillTokensPerSecond, TokenRateBounds, Presence::Optional);
-        reader.readNumber("decode_tokens_per_second", capacity.decodeTokensPerSecond, TokenRateBounds, Presence::Optional);
+        reader.readNumber(
+            "prefill_tokens_per_second", capacity.prefillTokensPerSecond, TokenRateBounds, Presence::Optional);
+        reader.readNumber(
+            "decode_tokens_per_second", capacity.decodeTokensPerSecond, TokenRateBounds, Presence::Optional);
     }
     reader.finish();
 }
--- a/src/protocol/settingsreader.cpp
+++ b/src/protocol/settingsreader.cpp
@@ -138,7 +138,7 @@
     DocumentReport report(path.string());
     Settings settings = readSettings(path, report);
     if (!report.problems().empty()) {
-        return report.failure("settings.read");
+        return report.failure(SettingsStep);
     }
     return settings;
 }
--- a/src/protocol/settingsreader.h
+++ b/src/protocol/settingsreader.h
@@ -15,6 +15,9 @@
  */
 Settings readSettings(const std::filesystem::path &path, DocumentReport &report);
 
+/** Step of the Failure of loadSettings. */
+constexpr std::string_view SettingsStep = "settings.read";
+
 /** Reads a settings file; the Failure lists every problem. */
 state::Result<Settings> loadSettings(const std::filesystem::path &path);
 
--- a/tests/protocol/testconfiguration.cpp
+++ b/tests/protocol/testconfiguration.cpp
@@ -22,16 +22,17 @@
                           R"("normal":{"tier":1,"default_deadline_ms":60000}},)"
                           R"("failure_domains":{"d1":{"region":"r1"}},)"
                           R"("customers":{"c1":{"key_hashes":[")"
-    + HashA + R"("],"weight":2.5,"highest_tier":"urgent","default_tier":"normal",)"
-              R"("requests_per_second":10,"max_concurrent":4}},)"
-              R"("pools":{"m1":{"kind":"model","model":"llm","version":"v1","capacity":{"streams":6,"prefill_tokens":1000,)"
-              R"("prefill_tokens_per_second":500.5,"decode_tokens_per_second":30}},)"
-              R"("s1":{"kind":"service","version":"v1","capacity":{"streams":2,"service_time_ms":70},)"
-              R"("routes":[{"method":"POST","path_prefix":"/print","idempotent":false,"require_key":true,"tier":"urgent"}]}},)"
-              R"("targets":{"t1":{"pool":"m1","address":"127.0.0.1","port":9001,"failure_domain":"d1",)"
-              R"("capacity":{"streams":3},"checks_fencing":false}},)"
-              R"("changes":{"x1":{"pool":"m1","from":"v1","to":"v2","deadline":"2026-12-05T06:00:00Z"}},)"
-              R"("limits":{"queue_length":100,"queue_bytes":100000,"max_body_bytes":50000,"claim_timeout_ms":1500}})";
+    + HashA
+    + R"("],"weight":2.5,"highest_tier":"urgent","default_tier":"normal",)"
+      R"("requests_per_second":10,"max_concurrent":4}},)"
+      R"("pools":{"m1":{"kind":"model","model":"llm","version":"v1","capacity":{"streams":6,"prefill_tokens":1000,)"
+      R"("prefill_tokens_per_second":500.5,"decode_tokens_per_second":30}},)"
+      R"("s1":{"kind":"service","version":"v1","capacity":{"streams":2,"service_time_ms":70},)"
+      R"("routes":[{"method":"POST","path_prefix":"/print","idempotent":false,"require_key":true,"tier":"urgent"}]}},)"
+      R"("targets":{"t1":{"pool":"m1","address":"127.0.0.1","port":9001,"failure_domain":"d1",)"
+      R"("capacity":{"streams":3},"checks_fencing":false}},)"
+      R"("changes":{"x1":{"pool":"m1","from":"v1","to":"v2","deadline":"2026-12-05T06:00:00Z"}},)"
+      R"("limits":{"queue_length":100,"queue_bytes":100000,"max_body_bytes":50000,"claim_timeout_ms":1500}})";
 
 std::string detailOf(const std::string &document)
 {
@@ -95,11 +96,15 @@
 TEST_CASE("faults are reported with pointer and expectation", "[configuration]")
 {
     CHECK(detailWith("\"weight\"", "\"wieght\"")
-          == "document: /customers/c1/wieght: expected no such key; known keys are default_tier, highest_tier, key_hashes, "
+          == "document: /customers/c1/wieght: expected no such key; known keys are default_tier, highest_tier, "
+             "key_hashes, "
              "max_concurrent, requests_per_second, weight");
-    CHECK(detailWith("\"port\":9001", "\"port\":\"9001\"") == "document: /targets/t1/port: expected an integer from 1 to 65535");
-    CHECK(detailWith("\"port\":9001", "\"port\":65536") == "document: /targets/t1/port: expected an integer from 1 to 65535");
-    CHECK(detailWith("\"weight\":2.5", "\"weight\":0") == "document: /customers/c1/weight: expected a number from 0.001 to 1e+06");
+    CHECK(detailWith("\"port\":9001", "\"port\":\"9001\"")
+          == "document: /targets/t1/port: expected an integer from 1 to 65535");
+    CHECK(detailWith("\"port\":9001", "\"port\":65536")
+          == "document: /targets/t1/port: expected an integer from 1 to 65535");
+    CHECK(detailWith("\"weight\":2.5", "\"weight\":0")
+          == "document: /customers/c1/weight: expected a number from 0.001 to 1e+06");
     CHECK(detailWith("\"address\":\"127.0.0.1\"", "\"address\":\"localhost\"")
           == "document: /targets/t1/address: expected an IP address");
     CHECK(detailWith("\"pool\":\"m1\",\"address\"", "\"pool\":\"m2\",\"address\"")
@@ -108,24 +113,29 @@
           == "document: /targets/t1/failure_domain: expected a name declared in /failure_domains");
     CHECK(detailWith("\"highest_tier\":\"urgent\"", "\"highest_tier\":\"top\"")
           == "document: /customers/c1/highest_tier: expected the name of a tier declared in /tiers");
-    CHECK(detailWith("\"highest_tier\":\"urgent\",\"default_tier\":\"normal\"", "\"highest_tier\":\"normal\",\"default_tier\":\"urgent\"")
+    CHECK(detailWith("\"highest_tier\":\"urgent\",\"default_tier\":\"normal\"",
+                     "\"highest_tier\":\"normal\",\"default_tier\":\"urgent\"")
           == "document: /customers/c1/default_tier: expected a tier that is not more urgent than highest_tier");
     CHECK(detailWith("\"normal\":{\"tier\":1", "\"normal\":{\"tier\":0")
           == "document: /tiers/normal/tier: expected a number that no other tier has, but \"urgent\" has it");
     CHECK(detailWith(HashA, "AA") == "document: /customers/c1/key_hashes/0: expected 64 lower-case hexadecimal digits");
     CHECK(detailWith("2026-12-05T06:00:00Z", "2026-02-30T06:00:00Z")
           == "document: /changes/x1/deadline: expected a time in UTC such as \"2026-12-05T06:00:00Z\"");
-    CHECK(detailWith("\"to\":\"v2\"", "\"to\":\"v1\"") == "document: /changes/x1/to: expected a version other than \"from\"");
-    CHECK(detailWith("\"kind\":\"model\"", "\"kind\":\"engine\"") == "document: /pools/m1/kind: expected one of model, service");
+    CHECK(detailWith("\"to\":\"v2\"", "\"to\":\"v1\"")
+          == "document: /changes/x1/to: expected a version other than \"from\"");
+    CHECK(detailWith("\"kind\":\"model\"", "\"kind\":\"engine\"")
+          == "document: /pools/m1/kind: expected one of model, service");
     CHECK(detailWith("\"service_time_ms\":70", "\"prefill_tokens\":70")
-          == "document: /pools/s1/capacity/prefill_tokens: expected no such key; known keys are service_time_ms, streams");
+          == "document: /pools/s1/capacity/prefill_tokens: expected no such key; known keys are service_time_ms, "
+             "streams");
     CHECK(detailWith("\"t1\"", "\"t 1\"")
           == "document: /targets/t 1: expected a name of 1 to 128 letters, digits, '.', '_' or '-'");
     CHECK(detailOf("{}") == "document: /tiers: expected this field");
     CHECK(detailOf("[]") == "document: expected an object");
 }
 
-// Guards against names that Boost.JSON's parser merges without notice, and against keys of two customers that are equal.
+// Guards against names that Boost.JSON's parser merges without notice, and against keys of two customers that are
+// equal.
 TEST_CASE("duplicates are reported", "[configuration]")
 {
     CHECK(detailWith("\"weight\":2.5", "\"weight\":1,\"weight\":2.5")
@@ -147,19 +157,24 @@
 {
     CHECK(detailOf(std::string(33, '[') + std::string(33, ']')) == "document: expected at most 32 levels of nesting");
     CHECK(detailOf("{\"tiers\":\"\xFF\"}") == "document: expected valid UTF-8, but byte 10 is not");
-    CHECK_THAT(detailOf("{\n\"tiers\":\n}"), Catch::StartsWith("document: expected well-formed JSON: ") && Catch::Contains("near line 3"));
+    CHECK_THAT(detailOf("{\n\"tiers\":\n}"),
+               Catch::StartsWith("document: expected well-formed JSON: ") && Catch::Contains("near line 3"));
     CHECK_THAT(detailOf("{\"tiers\":{}"), Catch::Contains("well-formed JSON: incomplete"));
     CHECK_THAT(detailOf(Valid + "x"), Catch::Contains("well-formed JSON: extra data"));
     CHECK(detailOf(Valid + " \n").empty());
 }
 
-// Guards against an operator who must publish again for each further fault, and against partial use of a faulty document.
+// Guards against an operator who must publish again for each further fault, and against partial use of a faulty
+// document.
 TEST_CASE("all problems of all files are reported in one run", "[configuration]")
 {
     const tests::TemporaryFolder folder;
-    const std::string first = folder.write("10-tiers.json", R"({"tiers":{"urgent":{"tier":0,"default_deadline_ms":0,"colour":1}}})").string();
-    const std::string second = folder.write("20-targets.json", R"({"targets":{"t1":{"pool":"p","address":"127.0.0.1","port":1,)"
-                                                               R"("failure_domain":"d"}}})")
+    const std::string first =
+        folder.write("10-tiers.json", R"({"tiers":{"urgent":{"tier":0,"default_deadline_ms":0,"colour":1}}})").string();
+    const std::string second = folder
+                                   .write("20-targets.json",
+                                          R"({"targets":{"t1":{"pool":"p","address":"127.0.0.1","port":1,)"
+                                          R"("failure_domain":"d"}}})")
                                    .string();
     const std::string third = folder.write("30-broken.json", "{\"pools\":").string();
     folder.write("notes.txt", "not JSON");
@@ -194,7 +209,8 @@
     const std::string last = folder.write("c.json", R"({"limits":{"queue_length":-1}})").string();
     const auto faulty = protocol::readConfigurationFolder(folder.path());
     REQUIRE(faulty.problems.size() == 1);
-    CHECK(protocol::describe(faulty.problems[0]) == last + ": /limits/queue_length: expected an integer from 1 to 1000000");
+    CHECK(protocol::describe(faulty.problems[0])
+          == last + ": /limits/queue_length: expected an integer from 1 to 1000000");
     CHECK(protocol::readConfigurationFolder(folder.path() / "missing").problems.size() >= 1);
 }
 
@@ -226,7 +242,8 @@
     REQUIRE(time.has_value());
     CHECK(state::toMicroseconds(*time) == 1796450400000000);
     CHECK(protocol::formatTimestamp(*time) == "2026-12-05T06:00:00Z");
-    for (const char *bad : { "2026-12-05T06:00:00", "2026-13-05T06:00:00Z", "2026-12-05T24:00:00Z", "2026-12-05 06:00:00Z", "" }) {
+    for (const char *bad :
+         { "2026-12-05T06:00:00", "2026-13-05T06:00:00Z", "2026-12-05T24:00:00Z", "2026-12-05 06:00:00Z", "" }) {
         CHECK_FALSE(protocol::parseTimestamp(bad).has_value());
     }
 }
--- a/tests/protocol/testsettings.cpp
+++ b/tests/protocol/testsettings.cpp
@@ -10,10 +10,11 @@
 
 namespace {
 
-const std::string Minimal = R"({"host":{"id":"accra-osu-1","region":"accra","failure_domain":"accra-osu"},)"
-                            R"("listen":{"callers":"127.0.0.1:8000","operators":"127.0.0.1:8001","peers":"[::1]:8002"},)"
-                            R"("keys":{"operators_file":"operators.key","fleet_file":"/keys/fleet.key"},)"
-                            R"("platform":{"log":"127.0.0.1:7000","host_list":"127.0.0.1:7001"})";
+const std::string Minimal =
+    R"({"host":{"id":"accra-osu-1","region":"accra","failure_domain":"accra-osu"},)"
+    R"("listen":{"callers":"127.0.0.1:8000","operators":"127.0.0.1:8001","peers":"[::1]:8002"},)"
+    R"("keys":{"operators_file":"operators.key","fleet_file":"/keys/fleet.key"},)"
+    R"("platform":{"log":"127.0.0.1:7000","host_list":"127.0.0.1:7001"})";
 
 } // namespace
 
@@ -56,8 +57,9 @@
 {
     const tests::TemporaryFolder folder;
     const auto path = folder.write("host.json",
-                                   Minimal + R"(,"limits":{"max_requests":9},"placement":"random","seed":77,)"
-                                             R"("drain_timeout_s":5,"log":{"level":"debug","file":"a.log"}})");
+                                   Minimal
+                                       + R"(,"limits":{"max_requests":9},"placement":"random","seed":77,)"
+                                         R"("drain_timeout_s":5,"log":{"level":"debug","file":"a.log"}})");
     const auto settings = tests::valueOf([&] {
         return protocol::loadSettings(path);
     });
@@ -73,11 +75,12 @@
 TEST_CASE("all problems of a settings file are reported", "[settings]")
 {
     const tests::TemporaryFolder folder;
-    const auto path = folder.write("host.json",
-                                   R"({"host":{"id":"","region":"r"},"listen":{"callers":"localhost:8000",)"
-                                   R"("operators":"127.0.0.1:0","peers":"127.0.0.1:8002"},"keys":{"operators_file":"a","fleet_file":7},)"
-                                   R"("platform":{"log":"127.0.0.1:7000","log":"127.0.0.1:7000","host_list":"127.0.0.1"},)"
-                                   R"("limits":{"max_request":1},"drain_timeout_s":0,"log":{"level":"loud"}})");
+    const auto path = folder.write(
+        "host.json",
+        R"({"host":{"id":"","region":"r"},"listen":{"callers":"localhost:8000",)"
+        R"("operators":"127.0.0.1:0","peers":"127.0.0.1:8002"},"keys":{"operators_file":"a","fleet_file":7},)"
+        R"("platform":{"log":"127.0.0.1:7000","log":"127.0.0.1:7000","host_list":"127.0.0.1"},)"
+        R"("limits":{"max_request":1},"drain_timeout_s":0,"log":{"level":"loud"}})");
     protocol::DocumentReport report(path.string());
     protocol::readSettings(path, report);
     std::vector<std::string> pointers;
--- /dev/null
+++ b/tests/transport/testsyncclient.cpp
@@ -0,0 +1,98 @@
+#include "transport/syncclient.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace sapphirecove;
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Listener on the loopback address that answers one connection, or none. */
+class OneAnswer
+{
+public:
+    OneAnswer()
+        : m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+    }
+
+    protocol::Endpoint endpoint() const
+    {
+        return { "127.0.0.1", m_acceptor.local_endpoint().port() };
+    }
+
+    /** Answers the next connection with @p answer and returns what it sent. */
+    std::string serve(const std::string &answer)
+    {
+        tcp::socket socket = m_acceptor.accept();
+        std::string request;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        boost::asio::write(socket, boost::asio::buffer(answer));
+        return request;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+};
+
+/** Returns "status body" or, if the request fails, the step of the Failure. */
+std::string fetch(const protocol::Endpoint &endpoint, state::Duration timeout)
+{
+    return state::handleFailure(
+        [&]() -> state::Result<std::string> {
+            BOOST_LEAF_AUTO(response, transport::SyncClient(endpoint, "the-key").fetch("/path?a=1", timeout));
+            return std::to_string(response.status) + ' ' + response.body;
+        },
+        [](const state::Failure &failure) {
+            return failure.step;
+        });
+}
+
+} // namespace
+
+// Guards against requests without key or path, and answers that are cut or misread.
+TEST_CASE("an answer is received", "[syncclient]")
+{
+    OneAnswer server;
+    std::string request;
+    std::thread thread([&] {
+        request = server.serve("HTTP/1.1 418 X\r\nContent-Length: 5\r\n\r\nhello");
+    });
+    CHECK(fetch(server.endpoint(), 10s) == "418 hello");
+    thread.join();
+    CHECK_THAT(request, Catch::StartsWith("GET /path?a=1 HTTP/1.1\r\n"));
+    CHECK_THAT(request, Catch::Contains("Authorization: Bearer the-key\r\n"));
+}
+
+// Guards against a publisher that calls an outcome unknown although nothing was sent, or the reverse.
+TEST_CASE("a refused connection and a missing answer are told apart", "[syncclient]")
+{
+    protocol::Endpoint closed;
+    {
+        const OneAnswer server;
+        closed = server.endpoint();
+        CHECK(fetch(server.endpoint(), 50ms) == transport::ExchangeStep);
+    }
+    CHECK(fetch(closed, 10s) == transport::ConnectStep);
+}
+
+// Guards against an answer that was cut and counts as complete.
+TEST_CASE("a cut answer is a failure", "[syncclient]")
+{
+    OneAnswer server;
+    std::thread thread([&] {
+        server.serve("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello");
+    });
+    CHECK(fetch(server.endpoint(), 10s) == transport::ExchangeStep);
+    thread.join();
+}
