--- a/src/transport/data/callerconnection.cpp
+++ b/src/transport/data/callerconnection.cpp
@@ -46,23 +46,23 @@
 class RequestGuard
 {
 public:
-    RequestGuard(RequestTable &table, std::shared_ptr<ActiveRequest> request)
-        : m_table(table)
+    RequestGuard(std::shared_ptr<RequestTable> table, std::shared_ptr<ActiveRequest> request)
+        : m_table(std::move(table))
         , m_request(std::move(request))
         , m_bytes(static_cast<std::int64_t>(m_request->info.bodyBytes))
     {
-        m_table.bodyBytes += m_bytes;
+        m_table->bodyBytes += m_bytes;
     }
     ~RequestGuard()
     {
-        m_table.bodyBytes -= m_bytes;
-        m_table.remove(*m_request);
+        m_table->bodyBytes -= m_bytes;
+        m_table->remove(*m_request);
     }
     RequestGuard(const RequestGuard &) = delete;
     RequestGuard &operator=(const RequestGuard &) = delete;
 
 private:
-    RequestTable &m_table;
+    std::shared_ptr<RequestTable> m_table;
     std::shared_ptr<ActiveRequest> m_request;
     std::int64_t m_bytes;
 };
@@ -194,7 +194,7 @@
         const EarlyRefusal early{ refusal(RefusalReason::Draining, "this host is shutting down", DrainRetry), {} };
         co_return co_await refuse(early, false);
     }
-    const auto request = m_state.requests.add();
+    const auto request = m_state.requests->add();
     const auto id = request->info.id;
     const auto &admitted = std::get<AdmittedCall>(checked);
     request->info = admitted.info;
@@ -291,11 +291,11 @@
     if (!m_state.configuration) {
         return EarlyRefusal{ refusal(RefusalReason::NotReady, "no configuration yet", OverloadRetry), {} };
     }
-    if (m_state.requests.size() >= m_state.context.limits.requests) {
+    if (m_state.requests->size() >= m_state.context.limits.requests) {
         return EarlyRefusal{ refusal(RefusalReason::Overloaded, "too many requests", OverloadRetry), {} };
     }
     const auto length = static_cast<std::int64_t>(parser.content_length().value_or(0));
-    if (m_state.requests.bodyBytes + length > m_state.configuration->configuration().limits.queueBytes) {
+    if (m_state.requests->bodyBytes + length > m_state.configuration->configuration().limits.queueBytes) {
         return EarlyRefusal{ refusal(RefusalReason::Overloaded, "too many bytes of requests", OverloadRetry), {} };
     }
     return std::nullopt;
--- a/src/transport/data/callerconnection.h
+++ b/src/transport/data/callerconnection.h
@@ -24,7 +24,7 @@
 struct DataState
 {
     const DataContext &context;
-    RequestTable &requests;
+    std::shared_ptr<RequestTable> requests;
     std::shared_ptr<const AppliedConfiguration> configuration; /**< null before the first one is applied */
     bool draining = false;
     std::function<bool(coordination::Event)> trySend; /**< passes an event on unless the ring is full */
--- a/src/transport/data/dataservice.cpp
+++ b/src/transport/data/dataservice.cpp
@@ -38,13 +38,18 @@
                  [this](coordination::Event event) {
                      m_events.send(std::move(event));
                  } }
-    , m_requests(m_context, std::move(idPrefix))
+    , m_requests(std::make_shared<RequestTable>(m_context, std::move(idPrefix)))
     , m_state{ m_context, m_requests, nullptr, false, [this](coordination::Event event) {
                   return m_events.trySend(std::move(event));
               } }
 {
 }
 
+DataService::~DataService()
+{
+    m_requests->whenIdle(nullptr);
+}
+
 void DataService::start()
 {
     m_listener->start([this](tcp::socket socket) {
@@ -64,7 +69,7 @@
                     Decision,
                     coordination::
                         Dispatch> || std::is_same_v<Decision, coordination::Refuse> || std::is_same_v<Decision, coordination::CancelDispatch>) {
-                m_requests.apply(std::forward<decltype(decision)>(decision));
+                m_requests->apply(std::forward<decltype(decision)>(decision));
             }
         },
         std::move(action));
@@ -77,15 +82,15 @@
 
 void DataService::whenIdle(std::function<void()> onIdle)
 {
-    m_requests.whenIdle(std::move(onIdle));
+    m_requests->whenIdle(std::move(onIdle));
 }
 
 void DataService::accept(tcp::socket socket)
 {
     const auto executor = socket.get_executor();
-    if (m_connections < m_context.limits.connections) {
+    if (*m_connections < m_context.limits.connections) {
         asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
-    } else if (m_rejections < MaxRejections) {
+    } else if (*m_rejections < MaxRejections) {
         asio::co_spawn(executor, rejectConnection(std::move(socket)), asio::detached);
     }
 }
--- a/src/transport/data/dataservice.h
+++ b/src/transport/data/dataservice.h
@@ -28,6 +28,10 @@
                 DataLimits limits,
                 std::string idPrefix,
                 Ring<coordination::Event> &events);
+    ~DataService();
+
+    DataService(const DataService &) = delete;
+    DataService &operator=(const DataService &) = delete;
 
     /** Starts to accept connections. */
     void start();
@@ -55,10 +59,10 @@
     std::unique_ptr<Listener> m_listener;
     Outbox<coordination::Event> m_events;
     DataContext m_context;
-    RequestTable m_requests;
+    std::shared_ptr<RequestTable> m_requests; // shared with coroutine frames, see CountGuard
     DataState m_state;
-    std::size_t m_connections = 0;
-    std::size_t m_rejections = 0;
+    std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>(0);
+    std::shared_ptr<std::size_t> m_rejections = std::make_shared<std::size_t>(0);
 };
 
 } // namespace sapphirecove::transport
--- a/src/transport/data/requesttable.cpp
+++ b/src/transport/data/requesttable.cpp
@@ -63,7 +63,7 @@
 
 void RequestTable::whenIdle(std::function<void()> onIdle)
 {
-    if (m_requests.empty()) {
+    if (onIdle && m_requests.empty()) {
         onIdle();
         return;
     }
--- a/src/transport/data/requesttable.h
+++ b/src/transport/data/requesttable.h
@@ -31,7 +31,7 @@
     void apply(coordination::Refuse refuse);
     void apply(const coordination::CancelDispatch &cancel);
 
-    /** Calls @p onIdle as soon as no request is left. */
+    /** Calls @p onIdle as soon as no request is left; null withdraws an earlier function. */
     void whenIdle(std::function<void()> onIdle);
 
     /** Number of requests. */
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -43,7 +43,7 @@
 void HttpServer::start()
 {
     m_listener->start([this](tcp::socket socket) {
-        if (m_connections >= m_limits.connections) {
+        if (*m_connections >= m_limits.connections) {
             return;
         }
         const auto executor = socket.get_executor();
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -53,7 +53,7 @@
     std::unique_ptr<Listener> m_listener;
     HttpServerLimits m_limits;
     Handler m_handler;
-    std::size_t m_connections = 0;
+    std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>(0);
 };
 
 /** Returns an answer to @p request with a body. */
--- /dev/null
+++ b/src/transport/platform/logreader.cpp
@@ -0,0 +1,112 @@
+#include "transport/platform/logreader.h"
+
+#include "transport/log.h"
+#include "transport/pause.h"
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace sapphirecove::transport {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t PageSize = 1000;
+constexpr state::Duration LongPoll = std::chrono::seconds(1);
+
+/** Time for a read besides the long poll. */
+constexpr state::Duration ReadMargin = std::chrono::seconds(2);
+constexpr state::Duration CongestionPause = std::chrono::milliseconds(10);
+
+std::optional<protocol::LogReadAnswer>
+decode(state::Stream stream, const std::string &body, const std::string &peer, state::Failure &failure)
+{
+    return state::handleFailure(
+        [&]() -> state::Result<std::optional<protocol::LogReadAnswer>> {
+            auto answer = protocol::decodeReadAnswer(stream, body, peer);
+            if (!answer) {
+                return answer.error();
+            }
+            return std::optional<protocol::LogReadAnswer>(std::move(answer.value()));
+        },
+        [&](const state::Failure &error) {
+            failure = error;
+            return std::optional<protocol::LogReadAnswer>();
+        });
+}
+
+} // namespace
+
+LogReader::LogReader(const asio::any_io_executor &executor,
+                     state::Stream stream,
+                     Endpoint log,
+                     EventSender &events,
+                     std::uint64_t seed)
+    : m_stream(stream)
+    , m_client(executor, std::move(log))
+    , m_events(events)
+    , m_backoff(seed)
+{
+}
+
+asio::awaitable<void> LogReader::run()
+{
+    for (;;) {
+        while (m_events.congested()) {
+            co_await pauseFor(CongestionPause);
+        }
+        const bool read = co_await readOnce();
+        if (read) {
+            m_reachable = true;
+            m_backoff.reset();
+            continue;
+        }
+        m_events.send(coordination::LogUnavailable{ m_stream });
+        co_await pauseFor(m_backoff.next());
+    }
+}
+
+asio::awaitable<bool> LogReader::readOnce()
+{
+    HttpCall call;
+    call.path = protocol::readPath(m_stream, m_next, PageSize, LongPoll);
+    const auto outcome = co_await m_client.send(std::move(call), LongPoll + ReadMargin);
+    const auto peer = toString(m_client.endpoint());
+    state::Failure failure{ "log.read", peer, "status " + std::to_string(outcome.status) };
+    auto page = outcome.ok() ? decode(m_stream, outcome.body, peer, failure) : std::nullopt;
+    if (page && page->next < m_next) {
+        failure.detail = "the answer is older than an earlier one";
+        page.reset();
+    }
+    if (!page) {
+        if (std::exchange(m_reachable, false)) {
+            logFailure("log_unavailable", outcome.failure.value_or(failure));
+        }
+        co_return false;
+    }
+    report(std::move(*page));
+    co_return true;
+}
+
+void LogReader::report(protocol::LogReadAnswer page)
+{
+    for (const auto &unreadable : page.unreadable) {
+        const auto detail = "offset " + std::to_string(unreadable.offset) + ": " + unreadable.detail;
+        logFailure("log_record_unreadable", state::Failure{ "log.read", toString(m_client.endpoint()), detail });
+    }
+    coordination::RecordsRead event;
+    event.stream = m_stream;
+    event.first = page.first;
+    event.next = page.next;
+    event.atEnd = page.records.size() + page.unreadable.size() < PageSize;
+    std::erase_if(page.records, [this](const state::StoredRecord &record) {
+        return record.offset < m_next;
+    });
+    event.records = std::move(page.records);
+    m_next = page.next;
+    m_events.send(std::move(event));
+}
+
+} // namespace sapphirecove::transport
--- /dev/null
+++ b/src/transport/platform/targetwatcher.cpp
@@ -0,0 +1,120 @@
+#include "transport/platform/targetwatcher.h"
+
+#include "protocol/platformcodec.h"
+#include "transport/pause.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace sapphirecove::transport {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr state::Duration PollLimit = std::chrono::seconds(1);
+
+/** Returns the value of @p read, or nothing if it failed. */
+template <typename Value, typename Read>
+std::optional<Value> valueOf(Read read)
+{
+    return state::handleFailure(
+        [&]() -> state::Result<std::optional<Value>> {
+            auto result = read();
+            if (!result) {
+                return result.error();
+            }
+            return std::optional<Value>(std::move(result.value()));
+        },
+        [](const state::Failure &) {
+            return std::optional<Value>();
+        });
+}
+
+} // namespace
+
+TargetWatcher::TargetWatcher(const asio::any_io_executor &executor,
+                             coordination::WatchedTarget target,
+                             state::Duration interval,
+                             EventSender &events)
+    : m_executor(executor)
+    , m_target(std::move(target))
+    , m_interval(interval)
+    , m_events(events)
+    , m_client(executor, Endpoint{ m_target.address, m_target.port })
+{
+}
+
+void TargetWatcher::start(state::Duration delay)
+{
+    asio::co_spawn(
+        m_executor,
+        [self = shared_from_this(), delay] {
+            return self->run(delay);
+        },
+        asio::detached);
+}
+
+void TargetWatcher::stop()
+{
+    m_stopped = true;
+    m_client.close();
+}
+
+asio::awaitable<void> TargetWatcher::run(state::Duration delay)
+{
+    co_await pauseFor(delay);
+    while (!m_stopped) {
+        co_await readLoad();
+        if (!m_stopped) {
+            co_await readCacheEvents();
+        }
+        co_await pauseFor(m_interval);
+    }
+}
+
+asio::awaitable<void> TargetWatcher::readLoad()
+{
+    HttpCall call;
+    call.path = "/v1/load";
+    const auto outcome = co_await m_client.send(std::move(call), PollLimit);
+    if (!outcome.ok() || m_stopped || m_events.congested()) {
+        co_return;
+    }
+    auto report = valueOf<coordination::LoadReported>([&] {
+        return protocol::decodeLoadReport(outcome.body, m_target.target, toString(m_client.endpoint()));
+    });
+    if (report) {
+        m_events.send(std::move(*report));
+    }
+}
+
+asio::awaitable<void> TargetWatcher::readCacheEvents()
+{
+    HttpCall call;
+    call.path = "/v1/cache_events?from=" + std::to_string(m_nextCacheEvent);
+    const auto outcome = co_await m_client.send(std::move(call), PollLimit);
+    if (!outcome.ok() || m_stopped || m_events.congested()) {
+        co_return;
+    }
+    auto answer = valueOf<protocol::CacheEventsAnswer>([&] {
+        return protocol::decodeCacheEvents(
+            outcome.body, m_target.target, m_nextCacheEvent, toString(m_client.endpoint()));
+    });
+    if (!answer) {
+        co_return;
+    }
+    // A lower offset means that the engine has restarted with an empty cache: what is known of it is lost.
+    answer->change.gap = answer->change.gap || answer->next < m_nextCacheEvent;
+    m_nextCacheEvent = answer->next;
+    const auto &change = answer->change;
+    if (change.gap || !change.added.empty() || !change.removed.empty()) {
+        m_events.send(std::move(answer->change));
+    }
+}
+
+} // namespace sapphirecove::transport
--- a/src/transport/signal.h
+++ b/src/transport/signal.h
@@ -17,6 +17,11 @@
     {
     }
 
+    boost::asio::any_io_executor executor()
+    {
+        return m_timer.get_executor();
+    }
+
     /** Resumes the waiting coroutine after the present handler, so that it sees all changes made in it. */
     void notify()
     {
