--- a/src/transport/platform/logappender.cpp
+++ b/src/transport/platform/logappender.cpp
@@ -55,7 +55,9 @@
     if (outcome.ok()) {
         co_return;
     }
-    const state::Failure refused{ "log.append", toString(m_client.endpoint()), "status " + std::to_string(outcome.status) };
+    const state::Failure refused{ "log.append",
+                                  toString(m_client.endpoint()),
+                                  "status " + std::to_string(outcome.status) };
     logFailure("append_failed", outcome.failure.value_or(refused));
     m_events.send(coordination::LogUnavailable{ action.stream });
 }
--- a/src/transport/platform/logreader.cpp
+++ b/src/transport/platform/logreader.cpp
@@ -39,11 +39,8 @@
 
 } // namespace
 
-LogReader::LogReader(const asio::any_io_executor &executor,
-                     state::Stream stream,
-                     Endpoint log,
-                     EventSender &events,
-                     std::uint64_t seed)
+LogReader::LogReader(
+    const asio::any_io_executor &executor, state::Stream stream, Endpoint log, EventSender &events, std::uint64_t seed)
     : m_stream(stream)
     , m_client(executor, std::move(log))
     , m_events(events)
