--- /dev/null
+++ b/src/transport/operators/hostsnapshot.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "coordination/action.h"
+#include "coordination/statusreport.h"
+#include "transport/decisions/latencyrecorder.h"
+
+#include <cstdint>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace sapphirecove::transport {
+
+/** State of the host at one moment, for the operators' endpoints. */
+struct HostSnapshot
+{
+    coordination::StatusReport report;
+    std::vector<LatencySummary> latencies;
+};
+
+/** Question of the operators thread to the decisions thread. */
+struct SnapshotQuery
+{
+    std::uint64_t id = 0;
+};
+
+/** Answer to a SnapshotQuery. */
+struct SnapshotAnswer
+{
+    std::uint64_t id = 0;
+    std::shared_ptr<const HostSnapshot> snapshot;
+};
+
+/** What the decisions thread tells the operators thread. */
+using OperatorsUpdate = std::variant<coordination::SetReady, SnapshotAnswer>;
+
+} // namespace sapphirecove::transport
--- /dev/null
+++ b/src/transport/operators/metricstext.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "transport/operators/hostsnapshot.h"
+
+#include <string>
+
+namespace sapphirecove::transport {
+
+/** Media type of the text exposition format. */
+constexpr std::string_view MetricsMediaType = "text/plain; version=0.0.4";
+
+/** Returns counters, gauges and latencies of @p snapshot in the text exposition format. */
+std::string encodeMetrics(const HostSnapshot &snapshot);
+
+} // namespace sapphirecove::transport
