Add the command serve

The function that makes the Coordinator is a parameter of the command, so that tests can inject fixed decisions; a global hook was ruled out because tests of one process would share it.

--- a/src/cli/register.cpp
+++ b/src/cli/register.cpp
@@ -5,6 +5,7 @@
 std::vector<std::unique_ptr<Command>> createCommands()
 {
     std::vector<std::unique_ptr<Command>> commands;
+    commands.push_back(createServe(coordination::Coordinator::create));
     commands.push_back(createSettingsCheck());
     commands.push_back(createConfigCheck());
     commands.push_back(createConfigPublish());
--- a/src/cli/register.h
+++ b/src/cli/register.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cli/command.h"
+#include "transport/host.h"
 
 #include <memory>
 #include <vector>
@@ -13,6 +14,8 @@
  */
 std::vector<std::unique_ptr<Command>> createCommands();
 
+/** @p factory makes the decisions of the host; tests pass another one than Coordinator::create. */
+std::unique_ptr<Command> createServe(transport::CoordinatorFactory factory);
 std::unique_ptr<Command> createSettingsCheck();
 std::unique_ptr<Command> createConfigCheck();
 std::unique_ptr<Command> createConfigPublish();
