--- /dev/null
+++ b/src/coordination/targetbaselines.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "coordination/message.h"
+#include "state/identifiers.h"
+
+#include <map>
+#include <optional>
+
+namespace sapphirecove::coordination {
+
+/** Logarithms of a request's latencies, as far as they were measured. */
+struct LogLatencies
+{
+    /** Time to first token for each uncached prompt token, or the total time of a plain service's call. */
+    std::optional<double> prefill;
+    std::optional<double> decode; /**< time for each output token after the first */
+};
+
+/** Returns the latencies of a complete request. */
+LogLatencies logLatencies(const SlotRelease &release);
+
+/**
+ * Latencies of each target under the version in force. Targets differ in speed, so a new version on a target is
+ * compared with the old version on the same target and not with other targets.
+ */
+class TargetBaselines
+{
+public:
+    /** Fewest latencies for a baseline. */
+    static constexpr int MinCount = 8;
+    /** Latencies that the mean remembers; older ones fade. */
+    static constexpr int MaxCount = 200;
+
+    /** Adds latencies of @p target under @p version; another version starts the baseline again. */
+    void add(const state::TargetId &target, const state::VersionName &version, const LogLatencies &latencies);
+
+    /** Returns @p latencies relative to the target's baseline under @p version, without those that have none. */
+    LogLatencies
+    relative(const state::TargetId &target, const state::VersionName &version, const LogLatencies &latencies) const;
+
+    /** Forgets targets that are not in @p known. */
+    template <typename Known>
+    void retain(const Known &known)
+    {
+        std::erase_if(m_targets, [&](const auto &item) {
+            return !known.contains(item.first);
+        });
+    }
+
+private:
+    struct Mean
+    {
+        int count = 0;
+        double value = 0;
+
+        void add(double logarithm);
+        std::optional<double> difference(const std::optional<double> &logarithm) const;
+    };
+    struct Baseline
+    {
+        state::VersionName version;
+        Mean prefill;
+        Mean decode;
+    };
+
+    std::map<state::TargetId, Baseline> m_targets;
+};
+
+} // namespace sapphirecove::coordination
--- a/src/coordination/targetorders.h
+++ b/src/coordination/targetorders.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,8 @@
     static constexpr state::Duration RepeatInterval = std::chrono::seconds(2);
     /** An accepted order whose version is neither loading nor reported is sent again after this time. */
     static constexpr state::Duration LoadTime = std::chrono::seconds(10);
+    /** A target that does not report an ordered version after this time does not hold up the others. */
+    static constexpr state::Duration StuckTime = std::chrono::minutes(2);
     /** A target without a load report for this time is not counted as present. */
     static constexpr state::Duration ReportTime = std::chrono::seconds(10);
     /** Load time assumed until one was measured. */
@@ -38,8 +41,8 @@
     /** Records the answer to an order of this host. */
     void answered(const OrderAnswered &answer, state::Time now);
 
-    /** Forgets targets that @p pool no longer has. */
-    void configure(const state::Configuration &configuration, const state::PoolId &pool);
+    /** Forgets all targets that are not in @p targets. */
+    void retain(const std::set<state::TargetId> &targets);
 
     /** Returns whether the target's last report names @p version. */
     bool runs(const state::TargetId &target, const state::VersionName &version) const;
@@ -50,6 +53,10 @@
     /** Returns whether the target has been ordered to load @p version and has not reported it yet. */
     bool isLoading(const state::TargetId &target, const state::VersionName &version) const;
 
+    /** Returns whether the target has been ordered to load @p version for longer than StuckTime without reporting it.
+     */
+    bool isStuck(const state::TargetId &target, const state::VersionName &version, state::Time now) const;
+
     /** Returns the order to send now, or nothing if none is due. @p id must be new. */
     std::optional<SendOrder> order(const state::Target &target,
                                    const state::VersionName &version,
@@ -73,16 +80,15 @@
         state::VersionName ordered;
         state::Offset fencing = 0;
         std::uint64_t order = 0;
-        std::optional<state::Time> firstSent;
-        std::optional<state::Time> lastSent;
+        std::optional<state::Time> firstSent; /**< until the load time was measured */
+        state::Time lastSent{};
         std::optional<state::Time> accepted;
     };
 
     static bool isDue(const Entry &entry, state::Time now);
 
     std::map<state::TargetId, Entry> m_entries;
-    state::Offset m_refusedFencing = 0;
-    bool m_refused = false;
+    std::optional<state::Offset> m_refusedFencing;
     std::optional<state::Duration> m_loadTime;
 };
 
--- a/src/coordination/versioncontroller.h
+++ b/src/coordination/versioncontroller.h
@@ -4,6 +4,7 @@
 #include "coordination/event.h"
 #include "coordination/message.h"
 #include "coordination/statusreport.h"
+#include "coordination/targetbaselines.h"
 #include "coordination/targetorders.h"
 #include "coordination/versionevidence.h"
 #include "state/configuration.h"
@@ -11,11 +12,10 @@
 #include "state/time.h"
 
 #include <array>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <span>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,8 +28,8 @@
     state::VersionName from; /**< version in force before the change, or the only one */
     state::VersionName to; /**< empty if no change is active */
     int sharePerMille = 0; /**< of the traffic that goes to @c to; 0 if it must get none */
-    bool fromAllowed = true; /**< false once the change is done */
-    bool toAllowed = false; /**< false before the first share, after a halt and after the change was undone */
+    bool fromAllowed = true; /**< false after a halt of @c from */
+    bool toAllowed = false; /**< false before the first share and after a halt */
 };
 
 /** What the holder of leases must do now. */
@@ -37,7 +37,6 @@
 {
     std::vector<SendOrder> orders;
     std::vector<state::VersionStep> steps; /**< for the versions stream */
-    std::vector<AuditEntry> audit;
 };
 
 /**
@@ -47,13 +46,19 @@
  * halts a version at once if they show that it is bad. Halts only accumulate and travel in heartbeats, so they need no
  * log. The host that holds the lease leaseName(pool) also orders targets to load versions and appends the steps.
  *
- * The state of a change only rises: Loading, Shifting, Done, Undone. Undone comes last, so that a halt that was noticed
- * just before Done was recorded still ends the version. A step whose fencing number is below the highest one read for
- * the pool is ignored.
+ * The changes of a pool run one after the other in the order of their declaration. The state of a change only rises:
+ * Loading, Shifting, Done, Undone, and the share while Shifting only rises. Undone comes last, so that a halt that was
+ * noticed just before Done was recorded still ends the version. A step whose fencing number is below the highest one
+ * read for the pool is ignored.
  *
- * The share rises only when the observations of the present step say Good, and only as far as targets have loaded the
- * new version. The change is undone when the version is halted, or when so little time is left that the old version
- * could not be restored by the deadline otherwise.
+ * The share rises only when the observations of the present step say Good and enough targets have loaded the new
+ * version. The last step, 1000, begins before all targets have loaded; arbiters may use the remaining ones for what the
+ * others cannot take until the change is done. The change is undone when the version is halted, when another version
+ * than the declared one is in force before it, or when so little time is left that the old version could not be
+ * restored by the deadline otherwise. Halts outlast the change: a later change to the same version is undone at once.
+ *
+ * Targets are known by their load reports; a target without them gets no orders and is not counted. A pool of one
+ * target cannot divide its traffic: it serves the version that it has loaded.
  */
 class VersionController
 {
@@ -64,26 +69,29 @@
     static constexpr int MaxFirstShare = 50;
     /** Part of the time left that the first step may use for its observations. */
     static constexpr double FirstStepPart = 0.2;
-    /** Targets that load at once: this part of the pool, at least one. */
+    /** Targets that load the new version at once: this part of the pool, at least one. */
     static constexpr double LoadingPart = 0.1;
     /** A step that was not read back is appended again after this time. */
     static constexpr state::Duration RepeatInterval = std::chrono::seconds(1);
-    /** The last step of a declared change is appended again after this time, before the log forgets it. */
+    /** The last step of a change is appended again after this time, before the log forgets it. */
     static constexpr state::Duration RefreshInterval = std::chrono::hours(6);
-    /** Time kept before the deadline for the records of the end of a change. */
-    static constexpr state::Duration EndReserve = std::chrono::seconds(5);
-    /** Most halts kept; there are two versions for each declared change at most. */
-    static constexpr std::size_t MaxHalts = 1024;
+    /** Time kept before the deadline for a change of the lease holder and the append of the last step. */
+    static constexpr state::Duration EndReserve = std::chrono::seconds(15);
+    /** Most changes whose last step is kept. */
+    static constexpr std::size_t MaxSteps = 4096;
 
     static VersionController create(const state::HostId &host, state::Incarnation incarnation);
 
     /** Returns the name of the lease under which a pool's versions are changed: "versions/<pool>". */
     static std::string leaseName(const state::PoolId &pool);
 
-    /** Uses @p configuration from now on. Changes that it no longer declares are forgotten. */
-    void configure(std::shared_ptr<const state::Configuration> configuration, state::Time now);
+    /** Uses @p configuration from now on. Observations of changes that it still declares are kept. */
+    void configure(std::shared_ptr<const state::Configuration> configuration);
+
+    /** Sets the targets that the host list names as live; others get no orders. Until the first call all are live. */
+    void updateLiveTargets(std::set<state::TargetId> targets);
 
-    /** Takes the next record of the versions stream; returns an entry if it changed the state of a declared change. */
+    /** Takes the next record of the versions stream; returns an entry if it changed the state or share of a change. */
     std::optional<AuditEntry> apply(const state::StoredRecord &stored, state::Time now);
 
     /** Ends the handling of a read; @p next is the offset after it and @p atEnd is true if no newer record existed. */
@@ -99,8 +107,9 @@
     void answered(const OrderAnswered &answer, state::Time now);
 
     /**
-     * Takes the outcome of a request, known to this host as its entry host or as its arbiter. @p route is the prefix of
-     * the matching route, or empty if it is not known. Returns an entry if the outcome made this host halt the version.
+     * Takes the outcome of a request that this host knows as its entry host or as its arbiter; call it once for each
+     * request. @p route is the prefix of the matching route, or empty if it is not known. Returns an entry if the
+     * outcome made this host halt the version.
      */
     std::optional<AuditEntry> observe(const SlotRelease &release, std::string_view route, state::Time now);
 
@@ -121,13 +130,16 @@
     /** Returns how to divide the pool's traffic now. */
     VersionShares shares(const state::PoolId &pool) const;
 
-    /** Returns the pools for which some host must hold the lease: a change has not ended or targets run a wrong
-     * version. */
-    std::vector<state::PoolId> poolsNeedingLease(state::Time now) const;
+    /**
+     * Returns the pools for which some host must hold the lease and watch the targets: those with a declared change,
+     * and those whose targets may have to return to the version in force because a declared change was withdrawn.
+     */
+    std::vector<state::PoolId> poolsNeedingLease() const;
 
     /**
      * Decides for the pools whose lease this host may act on; @p fencing maps them to the fencing number. Does nothing
-     * for a pool before the versions stream was read to its end. Call it at each tick.
+     * before the versions stream was read to its end, with a fencing number below the highest one read, or after a
+     * target has refused the number. Call it at each tick.
      */
     VersionDecisions decide(const std::map<state::PoolId, state::Offset> &fencing, state::Time now);
 
@@ -135,53 +147,66 @@
     std::vector<VersionChangeStatus> status() const;
 
 private:
-    /** Declared change with what is known of it. */
+    /** Last valid step of a change. */
+    struct StepRecord
+    {
+        state::VersionStep step;
+        state::Time loggedAt{}; /**< log time of its last record */
+        state::Time readAt{}; /**< own time of its first record */
+        state::Offset offset = 0;
+    };
+    /** Observations of a declared change, and the step that this host has appended for it. */
     struct Change
     {
         state::VersionChange declared;
-        std::optional<state::VersionStep> step; /**< last valid step read */
-        state::Time stepTime{}; /**< log time of the last record of the step */
         VersionEvidence evidence;
-        std::optional<state::Time> stepReadAt; /**< own time; start of the observations */
-        state::VersionStep proposed; /**< step appended and not yet read back */
-        std::optional<state::Time> proposedAt;
+        std::optional<state::VersionStep> proposed;
+        state::Time proposedAt{};
     };
+    /** Name of a change with its version; an id that is used again for another version is another change. */
+    using ChangeKey = std::pair<std::string, state::VersionName>;
 
     VersionController(const state::HostId &host, state::Incarnation incarnation);
 
-    static bool hasEnded(const Change &change);
-    static bool sameStep(const state::VersionStep &left, const state::VersionStep &right);
-    const Change *activeChange(const state::PoolId &pool) const;
+    const StepRecord *stepOf(const Change &change) const;
+    state::ChangeState stateOf(const Change &change) const;
+    bool hasEnded(const Change &change) const;
+    std::size_t activeIndex(const state::PoolId &pool) const;
     Change *activeChange(const state::PoolId &pool);
-    state::VersionName versionBefore(const Change &change) const;
-    state::VersionName desiredVersion(const state::PoolId &pool) const;
-    std::vector<const state::Target *> targetsOf(const state::PoolId &pool) const;
-    bool names(const state::PoolId &pool, const state::VersionName &version) const;
-    int presentTargets(const state::PoolId &pool, state::Time now) const;
-    int targetsRunning(const state::PoolId &pool, const state::VersionName &version, state::Time now) const;
-
-    void decidePool(const state::PoolId &pool, state::Offset fencing, state::Time now, VersionDecisions &decisions);
-    void decideChange(Change &change, state::Offset fencing, state::Time now, VersionDecisions &decisions);
-    void refreshSteps(const state::PoolId &pool, state::Offset fencing, state::Time now, VersionDecisions &decisions);
+    const Change *activeChange(const state::PoolId &pool) const;
+    state::VersionName versionInForce(const state::PoolId &pool, const Change *before) const;
+    bool isNamed(const state::PoolId &pool, const state::VersionName &version) const;
+    std::vector<const state::Target *> presentTargets(const state::PoolId &pool, state::Time now) const;
+    void store(const state::StoredRecord &stored, state::Time now);
+
+    std::optional<state::VersionStep> decideChange(const Change &change, state::Time now) const;
+    std::optional<state::VersionStep> decideShare(const Change &change, state::Time now) const;
     std::optional<std::string> reasonToUndo(const Change &change, state::Time now) const;
     state::Duration restoreTime(const Change &change, state::Time now) const;
-    std::optional<int> nextShare(const Change &change, state::Time now) const;
     int firstShare(const Change &change, state::Time now) const;
-    int targetsForShare(const state::PoolId &pool, int sharePerMille, state::Time now) const;
-    void propose(Change &change, const state::VersionStep &step, state::Time now, VersionDecisions &decisions);
+    int preparedShare(const Change &change, state::Time now) const;
+    int targetsFor(const state::PoolId &pool, int sharePerMille, state::Time now) const;
+    /** Returns whether all present targets run the version but for a few that cannot load it. */
+    bool isLoadedEverywhere(const Change &change, state::Time now) const;
+    int targetsRunning(const Change &change, state::Time now) const;
+    void propose(
+        Change &change, state::VersionStep step, state::Offset fencing, state::Time now, VersionDecisions &decisions);
     void orderTargets(const state::PoolId &pool, state::Offset fencing, state::Time now, VersionDecisions &decisions);
     void orderLoading(const Change &change, state::Offset fencing, state::Time now, VersionDecisions &decisions);
-    void orderAll(const state::PoolId &pool,
-                  const state::VersionName &version,
-                  state::Offset fencing,
-                  state::Time now,
-                  VersionDecisions &decisions);
+    void sendOrder(const state::Target &target,
+                   const state::VersionName &version,
+                   state::Offset fencing,
+                   state::Time now,
+                   VersionDecisions &decisions);
 
     state::HostId m_host;
     std::uint64_t m_nextOrder = 0;
     std::shared_ptr<const state::Configuration> m_configuration;
+    std::optional<std::set<state::TargetId>> m_liveTargets;
     std::vector<Change> m_changes; /**< in the order of their declaration */
+    std::map<ChangeKey, StepRecord> m_steps;
     std::map<state::PoolId, TargetOrders> m_orders;
+    TargetBaselines m_baselines;
     std::map<state::PoolId, state::Offset> m_highestFencing;
     std::map<std::pair<state::PoolId, state::VersionName>, VersionHalt> m_halts;
     state::Offset m_position = 0;
--- a/src/coordination/versionevidence.h
+++ b/src/coordination/versionevidence.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "coordination/logstatistics.h"
 #include "coordination/message.h"
+#include "coordination/targetbaselines.h"
 #include "state/identifiers.h"
 #include "state/time.h"
 
@@ -26,38 +28,13 @@
     std::string reason; /**< Bad only */
 };
 
-/** Running mean and variance of the logarithm of a measure (Welford's method). */
-class LogStatistics
+/** Outcome of one request on a version. */
+struct VersionObservation
 {
-public:
-    /** Adds @p value, which must be positive. */
-    void add(double value);
-    std::int64_t count() const;
-    double mean() const;
-
-    /** Returns the variance of the mean; at least a small floor, so that equal values do not look certain. */
-    double varianceOfMean() const;
-
-private:
-    std::int64_t m_count = 0;
-    double m_mean = 0;
-    double m_squares = 0;
-};
-
-/** Outcomes and latencies of one version. */
-struct VersionSample
-{
-    std::int64_t total = 0; /**< completed and failed requests */
-    std::int64_t errors = 0;
-    LogStatistics prefill; /**< time to first token for each uncached prompt token, or total time of a service call */
-    LogStatistics decode; /**< time for each output token */
-};
-
-/** Outcomes of both versions on one route. */
-struct RouteSample
-{
-    VersionSample before;
-    VersionSample after;
+    const SlotRelease &release;
+    std::string_view route; /**< empty if not known */
+    LogLatencies latencies; /**< as measured */
+    LogLatencies relative; /**< to the target's baseline, as far as it has one */
 };
 
 /**
@@ -65,35 +42,48 @@
  *
  * Errors: Wald's sequential probability ratio test ("Sequential Tests of Statistical Hypotheses", Annals of
  * Mathematical Statistics 16(2), 1945) of the old version's error rate against that rate plus a fixed rise. One test
- * looks for a large rise since the last step, another for a small rise since the start of the change, a third for a
- * rise on one route. Latency: the difference of the mean logarithms of both versions' latencies over the same period.
+ * looks for a large rise since the last step, one for a small rise since the start of the change, one for a large rise
+ * on each route. Cancelled requests count as errors, since callers of a version that hangs give up; the old version's
+ * rate contains those that would have given up anyway. Refused connections do not count: a target can be down for other
+ * reasons.
+ *
+ * Latency: the difference between the mean logarithms of both versions over the same period, in total and for each
+ * route. Latencies relative to a baseline of the same target are preferred; without enough of them latencies are
+ * compared across targets, where only a difference beyond that between targets (UnequalTargets) counts.
  */
 class VersionEvidence
 {
 public:
-    /** Chance of calling a good version bad, and a bad one good, at one step. */
+    /** Chance of calling a good version bad at one step: by the total, and by one route. */
     static constexpr double FalseAlarm = 0.01;
     static constexpr double FalseAlarmOnRoute = 0.001;
+    /** Chance of calling a bad version good at one step. */
     static constexpr double MissedFault = 0.05;
-    /** Error rate assumed for the old version at least; a lower one would make a single error decisive. */
+    /** Error rate assumed for the old version at least; with a lower one a single error would decide. */
     static constexpr double MinErrorRate = 0.01;
-    /** Rise of the error rate that the tests look for: since the last step and since the start. */
+    /** Rise of the error rate that the tests look for: since the last step, and since the start. */
     static constexpr double LargeRise = 0.14;
     static constexpr double SmallRise = 0.03;
-    /** Latency ratio that is tolerated, and the number of standard errors required for a verdict. */
+    /** Ratio of latencies that is tolerated on the same target, and across targets of unequal speed. */
     static constexpr double ToleratedSlowdown = 1.25;
-    static constexpr double LatencyErrors = 3.5;
-    /** Fewest latencies of each version for a verdict. */
+    static constexpr double UnequalTargets = 4;
+    /** Standard errors by which the ratio must exceed the tolerated one for a fault. */
+    static constexpr double FaultDistance = 3.5;
+    /** Standard errors by which the ratio may exceed the tolerated one in a Good step. */
+    static constexpr double GoodDistance = 1;
+    /** Fewest latencies of each version for a comparison. */
     static constexpr std::int64_t MinLatencies = 8;
     /** Routes with a sample of their own; further routes count only in the total. */
     static constexpr std::size_t MaxRoutes = 256;
-    /** Interrupted answers of one target within this time count once: a dying target interrupts many at once. */
+    /** Interrupted and cancelled answers of one target within this time count once: a dying target ends many at once.
+     */
     static constexpr state::Duration CutWindow = std::chrono::seconds(1);
 
-    /** Adds the outcome of a request; @p isNew tells which version served it. Outcomes without a run are ignored. */
-    void add(const SlotRelease &release, std::string_view route, bool isNew, state::Time now);
+    /** Adds the outcome of a request; @p isNew tells which version served it. Outcomes that show nothing are ignored.
+     */
+    void add(const VersionObservation &observation, bool isNew, state::Time now);
 
-    /** Starts the observations of a step; the totals since the start of the change remain. */
+    /** Starts the observations of a step; the totals since the start of the change and those by route remain. */
     void startStep();
 
     /** Returns the verdict on the present step. */
@@ -109,15 +99,40 @@
     static std::int64_t requestsForStep();
 
 private:
+    /** Latencies of one version. */
+    struct LatencySample
+    {
+        LogStatistics prefill;
+        LogStatistics decode;
+
+        void add(const LogLatencies &latencies);
+    };
+    /** Outcomes of one version. */
+    struct Sample
+    {
+        std::int64_t total = 0; /**< complete and failed requests */
+        std::int64_t errors = 0;
+        LatencySample absolute;
+        LatencySample relative;
+
+        void add(const VersionObservation &observation, bool isError);
+    };
+    /** Outcomes of both versions. */
+    struct Comparison
+    {
+        Sample before;
+        Sample after;
+    };
+
     bool isRepeatedCut(const SlotRelease &release, state::Time now);
-    std::optional<std::string> errorFault() const;
-    std::optional<std::string> routeFault() const;
-    std::optional<std::string> latencyFault() const;
-    bool isLatencyAcceptable() const;
-
-    RouteSample m_step;
-    RouteSample m_total;
-    std::map<std::string, RouteSample, std::less<>> m_routes;
+    double baseErrorRate(const Sample &before) const;
+    std::optional<std::string> faultIn(const Comparison &comparison, double falseAlarm) const;
+    static std::optional<std::string> latencyFault(const Comparison &comparison);
+    static bool isLatencyAcceptable(const Comparison &comparison);
+
+    Comparison m_step;
+    Comparison m_total;
+    std::map<std::string, Comparison, std::less<>> m_routes;
     std::map<state::TargetId, state::Time> m_lastCut;
 };
 
