Follow the naming rules in the random test of the arbiter

Cause: the linter was run on the product's files only; it found two local constants in the wrong case and a parameter copied without need. Ruled out: exempting tests from the linter. Change: names and spans.

--- a/tests/coordination/grantobserver.cpp
+++ b/tests/coordination/grantobserver.cpp
@@ -19,15 +19,15 @@
 
 } // namespace
 
-GrantObserver::GrantObserver(std::vector<ArbiterTarget> targets, state::Duration grantLifetime)
+GrantObserver::GrantObserver(std::span<const ArbiterTarget> targets, state::Duration grantLifetime)
     : m_grantLifetime(grantLifetime)
 {
-    setTargets(std::move(targets));
+    setTargets(targets);
 }
 
-void GrantObserver::setTargets(std::vector<ArbiterTarget> targets)
+void GrantObserver::setTargets(std::span<const ArbiterTarget> targets)
 {
-    for (ArbiterTarget &target : targets) {
+    for (const ArbiterTarget &target : targets) {
         m_targets[target.id] = target;
     }
 }
--- a/tests/coordination/grantobserver.h
+++ b/tests/coordination/grantobserver.h
@@ -5,6 +5,7 @@
 #include "state/time.h"
 
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -17,9 +18,9 @@
 class GrantObserver
 {
 public:
-    GrantObserver(std::vector<ArbiterTarget> targets, state::Duration grantLifetime);
+    GrantObserver(std::span<const ArbiterTarget> targets, state::Duration grantLifetime);
 
-    void setTargets(std::vector<ArbiterTarget> targets);
+    void setTargets(std::span<const ArbiterTarget> targets);
 
     /** A message of a host reaches the arbiter. */
     void received(const state::HostId &from, const Message &message);
--- a/tests/coordination/testarbiterschedules.cpp
+++ b/tests/coordination/testarbiterschedules.cpp
@@ -8,11 +8,11 @@
 // requests without an answer, under lost, repeated and late messages. A failure names its seed.
 TEST_CASE("an arbiter keeps its rules in random schedules", "[arbiter][random]")
 {
-    constexpr std::uint64_t FirstSeed = 1;
-    constexpr std::uint64_t Schedules = 3000;
+    constexpr std::uint64_t firstSeed = 1;
+    constexpr std::uint64_t schedules = 3000;
     std::size_t grants = 0;
     std::size_t sheds = 0;
-    for (std::uint64_t seed = FirstSeed; seed < FirstSeed + Schedules; ++seed) {
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + schedules; ++seed) {
         Schedule schedule(seed);
         const std::string violation = schedule.run();
         INFO("seed " << seed << ": " << violation);
@@ -21,6 +21,6 @@
         sheds += schedule.observer().sheds();
     }
     // Schedules without contention would show nothing.
-    CHECK(grants > 50 * Schedules);
-    CHECK(sheds > 10 * Schedules);
+    CHECK(grants > 50 * schedules);
+    CHECK(sheds > 10 * schedules);
 }
