--- a/src/cli/configpublish.cpp
+++ b/src/cli/configpublish.cpp
@@ -97,6 +97,8 @@
         // The key is read first so that a missing one does not show only after the append.
         BOOST_LEAF_AUTO(host, HostConnection::create(settings));
         BOOST_LEAF_AUTO(publishId, createPublishId());
+        // Printed before the append so that an interrupted publication can still be looked up.
+        std::cerr << "publish_id=" << publishId << '\n';
         HttpConfigurationLog log(settings.platform.log);
         const protocol::ConfigurationReader checker;
         const state::Duration wait = std::chrono::seconds(m_waitSeconds);
