Drive whole fleets of coordinators through random fault schedules

Cause: each module had its own tests, but no test saw a request pass through claim, slot request, grant, dispatch and release on several hosts. Change: FleetDriver runs coordinators through their public interface with one log in memory and a seeded schedule of lost, late and repeated messages, kills, pauses, partitions, log outages and refused connections; it observes starts and answers itself. The host passes live targets to the version controller.

--- a/src/coordination/hostcoordinator.cpp
+++ b/src/coordination/hostcoordinator.cpp
@@ -138,6 +138,13 @@
         peers.push_back(peer.id);
     }
     m_gate->setPeers(peers, now);
+    std::set<state::TargetId> live;
+    for (const state::ListedTarget &target : event.list.targets) {
+        if (target.state == state::ListedState::Live) {
+            live.insert(target.id);
+        }
+    }
+    m_log.versions().updateLiveTargets(std::move(live));
     m_directory.invalidate();
     m_nextMembershipCheck = now;
 }
--- a/src/coordination/logduties.cpp
+++ b/src/coordination/logduties.cpp
@@ -41,13 +41,13 @@
 bool LogDuties::recordsRead(const RecordsRead &read, state::Time now)
 {
     apply(read, now);
-    return configurationChanged(now);
+    return configurationChanged();
 }
 
 bool LogDuties::offered(const ConfigurationOffer &offer, state::Time now)
 {
     record(m_configuration.offered(offer, now));
-    return configurationChanged(now);
+    return configurationChanged();
 }
 
 void LogDuties::unavailable(const LogUnavailable &event, state::Time now)
@@ -190,13 +190,13 @@
     }
 }
 
-bool LogDuties::configurationChanged(state::Time now)
+bool LogDuties::configurationChanged()
 {
     if (m_configuration.generation() == m_appliedGeneration) {
         return false;
     }
     m_appliedGeneration = m_configuration.generation();
-    m_versions.configure(m_configuration.configuration(), now);
+    m_versions.configure(m_configuration.configuration());
     return true;
 }
 
@@ -212,7 +212,7 @@
 
 void LogDuties::appendLeases(const Membership &membership, state::Time now, Actions &actions)
 {
-    for (const state::PoolId &pool : m_versions.poolsNeedingLease(now)) {
+    for (const state::PoolId &pool : m_versions.poolsNeedingLease()) {
         const std::string name = VersionController::leaseName(pool);
         const bool selected = membership.selected(name, now) == m_options.host;
         if (m_leases.wantsRenewal(name, now) || m_leases.wantsAcquisition(name, selected, now)) {
@@ -224,7 +224,7 @@
 void LogDuties::decideVersions(state::Time now, Actions &actions)
 {
     std::map<state::PoolId, state::Offset> fencing;
-    for (const state::PoolId &pool : m_versions.poolsNeedingLease(now)) {
+    for (const state::PoolId &pool : m_versions.poolsNeedingLease()) {
         if (const auto number = m_leases.fencing(VersionController::leaseName(pool), now)) {
             fencing[pool] = *number;
         }
@@ -240,9 +240,6 @@
         std::vector<state::LogRecord> records(decisions.steps.begin(), decisions.steps.end());
         actions.emplace_back(AppendRecords{ state::Stream::Versions, std::move(records) });
     }
-    for (AuditEntry &entry : decisions.audit) {
-        m_audit.add(std::move(entry));
-    }
 }
 
 } // namespace sapphirecove::coordination
--- a/src/coordination/logduties.h
+++ b/src/coordination/logduties.h
@@ -58,7 +58,7 @@
     void applyConfiguration(const RecordsRead &read, state::Time now);
     void applyLeases(const RecordsRead &read, state::Time now);
     void record(const std::vector<ConfigurationOutcome> &outcomes);
-    bool configurationChanged(state::Time now);
+    bool configurationChanged();
     void appendCheckpoint(const Membership &membership, state::Time now, Actions &actions);
     void appendLeases(const Membership &membership, state::Time now, Actions &actions);
     void decideVersions(state::Time now, Actions &actions);
--- /dev/null
+++ b/tests/coordination/testfleet.cpp
@@ -0,0 +1,212 @@
+#include "tests/coordination/fleetdriver.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirecove;
+using namespace sapphirecove::coordination;
+using sapphirecove::coordination::test::FaultPlan;
+using sapphirecove::coordination::test::FleetDriver;
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Checks what must hold for every request, whatever failed. */
+void checkRequests(const FleetDriver &fleet)
+{
+    std::map<std::string, int> startsByKey;
+    for (const auto &[id, request] : fleet.requests()) {
+        INFO("request " << id);
+        REQUIRE(request.starts <= 1);
+        REQUIRE(request.answers <= 1);
+        if (request.refusal && request.refusal->executed == Executed::No) {
+            REQUIRE(request.starts == 0);
+        }
+        if (!request.hostDied) {
+            REQUIRE((request.starts == 1 || request.answers == 1));
+        }
+        if (request.info.idempotencyKey) {
+            startsByKey[*request.info.idempotencyKey] += request.starts;
+        }
+    }
+    for (const auto &[key, starts] : startsByKey) {
+        INFO("key " << key);
+        REQUIRE(starts <= 1);
+    }
+}
+
+int servedOf(const FleetDriver &fleet)
+{
+    int served = 0;
+    for (const auto &[id, request] : fleet.requests()) {
+        served += request.starts;
+    }
+    return served;
+}
+
+} // namespace
+
+// Guards against a path through the modules that serves nothing although nothing fails.
+TEST_CASE("a fleet without failures serves every request", "[fleet]")
+{
+    FleetDriver fleet(3, 1, FaultPlan{});
+    fleet.publish();
+    fleet.run(seconds(2));
+    for (std::size_t i = 0; i < 60; ++i) {
+        fleet.submit(i % 3, static_cast<state::Tier>(i % 3), seconds(20), i % 4 == 0 ? "key" + std::to_string(i) : "");
+        fleet.run(milliseconds(40));
+    }
+    fleet.run(seconds(5));
+    checkRequests(fleet);
+    CHECK(servedOf(fleet) == 60);
+}
+
+// Guards against a second run of a key that its caller repeats at another host, before and after the first has ended.
+TEST_CASE("a repeated idempotency key runs once in the fleet", "[fleet]")
+{
+    FleetDriver fleet(3, 2, FaultPlan{});
+    fleet.publish();
+    fleet.run(seconds(2));
+    const auto first = fleet.submit(0, 0, seconds(20), "print-17");
+    const auto early = fleet.submit(1, 0, seconds(20), "print-17");
+    fleet.run(seconds(3));
+    const auto late = fleet.submit(2, 0, seconds(20), "print-17");
+    fleet.run(seconds(3));
+    checkRequests(fleet);
+    CHECK(fleet.requests().at(first).starts + fleet.requests().at(early).starts == 1);
+    REQUIRE(fleet.requests().at(late).refusal);
+    CHECK(fleet.requests().at(late).refusal->executed == Executed::Yes);
+}
+
+// Guards against a fleet that stops serving when an arbiter dies, and against a restarted host that never gets ready
+// while the log is down.
+TEST_CASE("a fleet goes on after the loss of a host and serves with the log down", "[fleet]")
+{
+    FleetDriver fleet(3, 3, FaultPlan{});
+    fleet.publish();
+    fleet.run(seconds(2));
+    fleet.setLogUp(false);
+    fleet.kill(0);
+    fleet.run(seconds(3));
+    fleet.restart(0);
+    fleet.run(seconds(4));
+    CHECK(fleet.status(0).ready);
+    for (std::size_t i = 0; i < 12; ++i) {
+        fleet.submit(i % 3, 0, seconds(20));
+    }
+    fleet.run(seconds(5));
+    checkRequests(fleet);
+    CHECK(servedOf(fleet) == 12);
+}
+
+// Guards against a shutdown that cuts off accepted requests, and against one that never ends.
+TEST_CASE("draining every host in turn cuts off no request", "[fleet]")
+{
+    FleetDriver fleet(3, 4, FaultPlan{});
+    fleet.publish();
+    fleet.run(seconds(2));
+    for (std::size_t host = 0; host < 3; ++host) {
+        std::vector<state::RequestId> accepted;
+        for (int i = 0; i < 10; ++i) {
+            accepted.push_back(fleet.submit(host, 1, seconds(30)));
+        }
+        fleet.drain(host);
+        fleet.run(seconds(8));
+        CHECK(fleet.drained(host));
+        for (const state::RequestId &id : accepted) {
+            CHECK(fleet.requests().at(id).starts == 1);
+        }
+        fleet.kill(host);
+        fleet.restart(host);
+        fleet.run(seconds(3));
+    }
+    checkRequests(fleet);
+}
+
+// Guards against new work on a leaving target.
+TEST_CASE("a leaving target gets no new work after the list names it", "[fleet]")
+{
+    FleetDriver fleet(3, 5, FaultPlan{});
+    fleet.publish();
+    fleet.run(seconds(2));
+    fleet.setLeaving("t1");
+    fleet.run(seconds(1));
+    const state::Time left = fleet.now();
+    for (std::size_t i = 0; i < 30; ++i) {
+        fleet.submit(i % 3, 1, seconds(20));
+        fleet.run(milliseconds(60));
+    }
+    fleet.run(seconds(5));
+    for (const auto &[id, request] : fleet.requests()) {
+        CHECK((request.target != "t1" || request.startedAt < left));
+    }
+    CHECK(servedOf(fleet) == 30);
+}
+
+// Guards against a second dispatch, a second run of a key, a false "not run" or a request without an end under kills,
+// restarts, pauses, partitions, log outages and leaving targets in any order.
+TEST_CASE("random schedules keep the guarantees of requests", "[fleet][random]")
+{
+    for (std::uint32_t seed = 1; seed <= 400; ++seed) {
+        INFO("seed " << seed);
+        FaultPlan faults;
+        faults.messageLoss = 0.05;
+        faults.messageRepeat = 0.05;
+        faults.maxMessageDelay = milliseconds(300);
+        faults.appendLoss = 0.1;
+        faults.appendRepeat = 0.1;
+        faults.connectRefusal = 0.1;
+        faults.answerCut = 0.05;
+        FleetDriver fleet(4, seed, faults);
+        fleet.publish();
+        fleet.run(seconds(2));
+        const auto pick = [&](std::size_t bound) {
+            return static_cast<std::size_t>(fleet.random()() % bound);
+        };
+        for (int round = 0; round < 60; ++round) {
+            const std::size_t host = pick(4);
+            if (fleet.isAlive(host)) {
+                const std::string key = pick(3) == 0 ? "key" + std::to_string(pick(8)) : "";
+                fleet.submit(host, static_cast<state::Tier>(pick(3)), milliseconds(500 + pick(5000)), key);
+            }
+            switch (pick(24)) {
+            case 0:
+                fleet.kill(pick(4));
+                break;
+            case 1:
+            case 2:
+                for (std::size_t i = 0; i < 4; ++i) {
+                    if (!fleet.isAlive(i)) {
+                        fleet.restart(i);
+                    }
+                }
+                break;
+            case 3:
+                fleet.pause(pick(4), milliseconds(pick(15000)));
+                break;
+            case 4:
+                fleet.setLogUp(false);
+                break;
+            case 5:
+            case 6:
+                fleet.setLogUp(true);
+                break;
+            case 7:
+                fleet.cutBetween({ pick(4), pick(4) }, true);
+                break;
+            case 8:
+            case 9:
+                fleet.cutBetween({}, false);
+                break;
+            default:
+                break;
+            }
+            fleet.run(milliseconds(20 + pick(400)));
+        }
+        fleet.setLogUp(true);
+        fleet.cutBetween({}, false);
+        fleet.run(seconds(25));
+        checkRequests(fleet);
+    }
+}
