Add the load generator

The measures of the requirements (goodput of each tier, time to first token and between tokens) need open-loop load: a closed loop slows down together with the system and hides its queues.

Each answer of a chat call is compared with the one that the stand-in engine gives for the prompt, and the program exits with 1 if one differs. A refused connection moves to the next host, as it would behind a load balancer; nothing is sent twice after the first byte.

--- /dev/null
+++ b/bench/connectionpool.cpp
@@ -0,0 +1,55 @@
+#include "bench/connectionpool.h"
+
+namespace sapphirecove::load {
+
+namespace {
+
+/** Idle time after which a connection isn't used again; shorter than the time after which servers close it. */
+constexpr auto MaxIdle = std::chrono::seconds(2);
+constexpr auto DownTime = std::chrono::seconds(1);
+
+} // namespace
+
+ConnectionPool::ConnectionPool(boost::asio::io_context &context, std::vector<Host> hosts)
+    : m_context(context)
+    , m_hosts(std::move(hosts))
+{
+}
+
+ConnectionPool::Host &ConnectionPool::chooseHost()
+{
+    const auto now = Clock::now();
+    for (std::size_t step = 0; step < m_hosts.size(); ++step) {
+        auto &host = m_hosts[m_next++ % m_hosts.size()];
+        if (host.downUntil <= now) {
+            return host;
+        }
+    }
+    return m_hosts[m_next++ % m_hosts.size()];
+}
+
+ConnectionPool::Stream ConnectionPool::take(Host &host)
+{
+    const auto oldest = Clock::now() - MaxIdle;
+    while (!host.idle.empty()) {
+        auto [since, stream] = std::move(host.idle.back());
+        host.idle.pop_back();
+        if (since >= oldest) {
+            return std::move(stream);
+        }
+    }
+    return std::make_unique<boost::beast::tcp_stream>(m_context);
+}
+
+void ConnectionPool::putBack(Host &host, Stream stream)
+{
+    host.idle.emplace_back(Clock::now(), std::move(stream));
+}
+
+void ConnectionPool::markDown(Host &host)
+{
+    host.downUntil = Clock::now() + DownTime;
+    host.idle.clear();
+}
+
+} // namespace sapphirecove::load
--- /dev/null
+++ b/bench/connectionpool.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sapphirecove::load {
+
+/** Entry hosts that requests go to in turn, as behind a load balancer, with their idle connections. */
+class ConnectionPool
+{
+public:
+    using Stream = std::unique_ptr<boost::beast::tcp_stream>;
+    using Clock = std::chrono::steady_clock;
+
+    struct Host
+    {
+        std::string name;
+        boost::asio::ip::tcp::endpoint endpoint;
+        Clock::time_point downUntil;
+        std::vector<std::pair<Clock::time_point, Stream>> idle; /**< with the time since when */
+    };
+
+    ConnectionPool(boost::asio::io_context &context, std::vector<Host> hosts);
+
+    /** Returns the next host that isn't marked as down; any host if all are. */
+    Host &chooseHost();
+    /** Returns an idle connection, or one that isn't connected yet. */
+    Stream take(Host &host);
+    void putBack(Host &host, Stream stream);
+    /** Leaves out @p host for a second. */
+    void markDown(Host &host);
+
+    std::size_t size() const
+    {
+        return m_hosts.size();
+    }
+
+private:
+    boost::asio::io_context &m_context;
+    std::vector<Host> m_hosts;
+    std::size_t m_next = 0;
+};
+
+} // namespace sapphirecove::load
--- /dev/null
+++ b/bench/loadcall.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "bench/connectionpool.h"
+#include "bench/statistics.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <functional>
+#include <optional>
+
+namespace sapphirecove::load {
+
+/** One request in progress. */
+class LoadCall : public std::enable_shared_from_this<LoadCall>
+{
+public:
+    using Finished = std::function<void(CallResult)>;
+
+    /** @p start is the start of the run, that CallResult::startedMs counts from. */
+    LoadCall(ConnectionPool &pool, LoadRequest request, ConnectionPool::Clock::time_point start, Finished finished);
+
+    /** Sends the request; a host that refuses the connection is replaced by the next one, as a load balancer does. */
+    void start();
+
+private:
+    void send();
+    void readHeader();
+    void readBody();
+    void takeLines();
+    void takeEvent(std::string_view data);
+    void takeProblem(std::string_view text);
+    void finish(bool isWhole);
+    double elapsedMs() const;
+
+    ConnectionPool &m_pool;
+    LoadRequest m_request;
+    Finished m_finished;
+    CallResult m_result;
+    ConnectionPool::Clock::time_point m_started;
+    ConnectionPool::Host *m_host = nullptr;
+    ConnectionPool::Stream m_stream;
+    std::size_t m_attempts = 0;
+    boost::beast::http::request<boost::beast::http::string_body> m_message;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::buffer_body>> m_parser;
+    boost::beast::flat_buffer m_buffer;
+    std::array<char, 16384> m_piece{};
+    std::string m_body; // not yet taken apart
+    std::string m_content;
+    double m_lastTokenMs = 0;
+    bool m_isStream = false;
+    bool m_hasEnded = false; // end marker received
+};
+
+} // namespace sapphirecove::load
--- /dev/null
+++ b/bench/statistics.cpp
@@ -0,0 +1,118 @@
+#include "bench/statistics.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iomanip>
+#include <ostream>
+
+namespace sapphirecove::load {
+
+namespace {
+
+/** Sums of one tier. */
+struct TierSums
+{
+    int sent = 0;
+    int good = 0;
+    int late = 0;
+    int incomplete = 0; /**< neither a whole answer nor a rejection */
+    int wrong = 0;
+    int tokens = 0;
+    std::map<std::string, int> refused;
+    std::vector<double> firstTokenMs;
+    std::vector<double> tokenGapsMs;
+    std::vector<double> totalMs;
+};
+
+/** Returns the smallest value that @p share of @p values don't exceed. */
+double percentile(std::vector<double> &values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(values.size())));
+    const auto position = std::clamp<std::size_t>(rank, 1, values.size()) - 1;
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(position), values.end());
+    return values[position];
+}
+
+void printPercentiles(std::ostream &out, const char *name, std::vector<double> values)
+{
+    out << "  " << std::left << std::setw(22) << name << std::right << std::fixed << std::setprecision(2) //
+        << " p50 " << std::setw(10) << percentile(values, 0.50) //
+        << " p95 " << std::setw(10) << percentile(values, 0.95) //
+        << " p99 " << std::setw(10) << percentile(values, 0.99) << " ms  (n=" << values.size() << ")\n";
+}
+
+void addTo(TierSums &sums, const CallResult &result)
+{
+    ++sums.sent;
+    sums.tokens += result.tokens;
+    if (result.isWrong) {
+        ++sums.wrong;
+    } else if (result.isGood()) {
+        ++sums.good;
+    } else if (result.isComplete && result.status == 200) {
+        ++sums.late;
+    } else if (!result.reason.empty()) {
+        ++sums.refused[result.reason];
+    } else {
+        ++sums.incomplete;
+    }
+    if (result.status == 200 && result.isComplete) {
+        sums.totalMs.push_back(result.totalMs);
+    }
+    if (result.firstTokenMs >= 0) {
+        sums.firstTokenMs.push_back(result.firstTokenMs);
+    }
+    sums.tokenGapsMs.insert(sums.tokenGapsMs.end(), result.tokenGapsMs.begin(), result.tokenGapsMs.end());
+}
+
+} // namespace
+
+void Statistics::add(CallResult result)
+{
+    m_results.push_back(std::move(result));
+}
+
+void Statistics::print(std::ostream &out, double seconds) const
+{
+    std::map<std::string, TierSums> tiers;
+    for (const auto &result : m_results) {
+        addTo(tiers[result.tier], result);
+    }
+    for (const auto &[name, sums] : tiers) {
+        out << "tier " << name << ": sent " << sums.sent << ", good " << sums.good << std::fixed << std::setprecision(1)
+            << " (" << 100.0 * sums.good / sums.sent << "%, " << sums.good / seconds << "/s), late " << sums.late
+            << ", incomplete " << sums.incomplete << ", wrong " << sums.wrong << ", tokens/s " << sums.tokens / seconds
+            << "\n";
+        for (const auto &[reason, count] : sums.refused) {
+            out << "  refused " << reason << ": " << count << "\n";
+        }
+        printPercentiles(out, "time to first token", sums.firstTokenMs);
+        printPercentiles(out, "time between tokens", sums.tokenGapsMs);
+        printPercentiles(out, "time of whole answer", sums.totalMs);
+    }
+}
+
+void Statistics::writeCsv(std::ostream &out) const
+{
+    out << "started_ms,class,tier,customer,host,status,reason,executed,complete,wrong,good,first_token_ms,total_ms,"
+           "tokens\n";
+    out << std::fixed << std::setprecision(3);
+    for (const auto &result : m_results) {
+        out << result.startedMs << ',' << result.requestClass << ',' << result.tier << ',' << result.customer << ','
+            << result.host << ',' << result.status << ',' << result.reason << ',' << result.executed << ','
+            << result.isComplete << ',' << result.isWrong << ',' << result.isGood() << ',' << result.firstTokenMs << ','
+            << result.totalMs << ',' << result.tokens << '\n';
+    }
+}
+
+bool Statistics::hasWrongAnswers() const
+{
+    return std::any_of(m_results.begin(), m_results.end(), [](const CallResult &result) {
+        return result.isWrong;
+    });
+}
+
+} // namespace sapphirecove::load
