Break each stream once at the stand-in engine

An engine that closes the connection at the same event again after each resumption can never deliver the answer if the bytes before the break are lost, so a test of resumption could not pass. Raising the event number of the break on each attempt was ruled out as harder to read in a test.

Each stream now remembers that its connection was broken and is delivered whole after the first resumption.

--- a/standins/batch.h
+++ b/standins/batch.h
@@ -23,6 +23,7 @@
     double slowdown = 1;
     bool isStreamed = false;
     bool losesAnswer = false;
+    bool hasBroken = false; /**< its connection was closed by breakAfterTokens */
 
     double prefillLeft = 0; /**< tokens */
     double decodeCredit = 0; /**< fraction of the next token */
--- a/standins/engineanswer.cpp
+++ b/standins/engineanswer.cpp
@@ -60,9 +60,11 @@
     std::string events;
     while (stream.sentEvents < stream.generated && reader.pendingBytes() + events.size() < MaxPendingBytes) {
         events += tokenEvent(stream, stream.sentEvents++);
-        const bool breaks = m_options.breakAfterTokens > 0 && stream.sentEvents == m_options.breakAfterTokens;
+        const bool breaks =
+            !stream.hasBroken && m_options.breakAfterTokens > 0 && stream.sentEvents >= m_options.breakAfterTokens;
         if (breaks || (stream.losesAnswer && stream.sentEvents * 2 >= stream.maxTokens)) {
             stream.losesAnswer = false;
+            stream.hasBroken = true;
             reader.abort();
             stream.reader.reset();
             return;
--- a/standins/engineoptions.h
+++ b/standins/engineoptions.h
@@ -47,7 +47,7 @@
     std::string version = "v1";
     double errorRate = 0; /**< share of requests answered with status 500 */
     bool stalled = false; /**< the batch makes no progress */
-    int breakAfterTokens = 0; /**< closes the connection of each answer after so many tokens; 0 never */
+    int breakAfterTokens = 0; /**< closes the connection of each stream once, after so many tokens; 0 never */
     double lostAnswerRate = 0; /**< share of requests that run and whose connection is closed without an answer */
     double lostOrderAnswerRate = 0; /**< share of orders that take effect and get no answer */
     std::uint64_t seed = 1;
