Add integration tests of the fleet

The tests compare each answer byte by byte with what the prompt leads to, and count dispatches at the stand-ins, never by the product's own counters.

They have not yet been seen to pass.

--- /dev/null
+++ b/tests/integration/testfailures.cpp
@@ -0,0 +1,214 @@
+// Failures of single processes while the fleet serves.
+#include "tests/integration/traffic.h"
+#include "tests/integration/waitfor.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <csignal>
+
+using namespace sapphirecove::integration;
+
+namespace {
+
+constexpr std::size_t Threads = 8;
+constexpr int ShortAnswer = 20;
+constexpr std::size_t SomeCalls = 30;
+constexpr std::size_t LongStreams = 6;
+constexpr int LongAnswer = 600;
+/** Time after which a target that the list names as leaving gets no new work (guarantee 7 of the design page). */
+constexpr auto LeavingBound = std::chrono::seconds(5);
+
+std::vector<ChatOutcome> outcomesOf(const std::vector<TrafficItem> &items)
+{
+    std::vector<ChatOutcome> outcomes;
+    outcomes.reserve(items.size());
+    for (const auto &item : items) {
+        outcomes.push_back(item.outcome);
+    }
+    return outcomes;
+}
+
+/** Calls at hosts that did not fail, and that were neither answered nor refused with a reason. */
+std::size_t unexplained(const std::vector<TrafficItem> &items, std::size_t failedHost)
+{
+    return static_cast<std::size_t>(std::count_if(items.begin(), items.end(), [&](const TrafficItem &item) {
+        return item.host != failedHost && !item.outcome.isCorrect() && item.outcome.reason.empty();
+    }));
+}
+
+std::int64_t wallClockUs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+HttpAnswer print(const Fleet &fleet, std::size_t host, const std::string &key)
+{
+    auto request = fleet.serviceCall(host, "POST", "/print/badges");
+    request.headers["Idempotency-Key"] = key;
+    return call(request);
+}
+
+} // namespace
+
+// Guards against a host whose death takes the others' requests with it or makes them run twice.
+TEST_CASE("the others serve on when a host is killed", "[fleet][failures]")
+{
+    Fleet fleet;
+    fleet.start();
+    Traffic traffic(fleet, Threads, ShortAnswer);
+    REQUIRE(traffic.waitForCorrect(SomeCalls));
+    fleet.host(2).kill();
+    traffic.avoid(2);
+    INFO(fleet.hostErrors());
+    CHECK(traffic.waitForCorrect(SomeCalls));
+    const auto items = traffic.stop();
+    CHECK(unexplained(items, 2) == 0);
+    const auto verdict = verify(outcomesOf(items), fleet.engines().records());
+    CAPTURE(verdict.violations, verdict.correct, verdict.refused);
+    CHECK(verdict.violations.empty());
+}
+
+// Guards against a paused arbiter that grants with old state when it continues.
+TEST_CASE("a host that is paused and continued does no harm", "[fleet][failures]")
+{
+    Fleet fleet;
+    fleet.start();
+    Traffic traffic(fleet, Threads, ShortAnswer);
+    REQUIRE(traffic.waitForCorrect(SomeCalls));
+    fleet.host(1).signal(SIGSTOP);
+    traffic.avoid(1);
+    CHECK(traffic.waitForCorrect(SomeCalls));
+    fleet.host(1).signal(SIGCONT);
+    CHECK(traffic.waitForCorrect(SomeCalls));
+    const auto items = traffic.stop();
+    CHECK(unexplained(items, 1) == 0);
+    CHECK(waitFor([&] {
+        return chat(fleet.chatCall(1, "after the pause", ShortAnswer)).isCorrect();
+    }));
+    const auto verdict = verify(outcomesOf(items), fleet.engines().records());
+    CAPTURE(verdict.violations, verdict.correct, verdict.refused, fleet.hostErrors());
+    CHECK(verdict.violations.empty());
+}
+
+// Guards against a planned stop that interrupts requests or never ends.
+TEST_CASE("a graceful stop under load interrupts no stream", "[fleet][failures]")
+{
+    Fleet fleet;
+    fleet.start();
+    Traffic traffic(fleet, 4, ShortAnswer);
+    std::vector<ChatCall> calls;
+    std::vector<std::unique_ptr<HttpStream>> streams;
+    for (std::size_t number = 0; number < LongStreams; ++number) {
+        calls.push_back(fleet.chatCall(1, "long stream " + std::to_string(number), LongAnswer));
+        streams.push_back(std::make_unique<HttpStream>(calls.back().toHttp()));
+        REQUIRE(streams.back()->readEvents(1));
+    }
+    fleet.host(1).signal(SIGTERM);
+    traffic.avoid(1);
+    CHECK(waitFor([&] {
+        return !fleet.isReady(1);
+    }));
+    std::vector<ChatOutcome> outcomes;
+    for (std::size_t number = 0; number < LongStreams; ++number) {
+        streams[number]->readAll();
+        outcomes.push_back(outcomeOf(calls[number], *streams[number]));
+        CAPTURE(outcomes.back().reason, outcomes.back().content.size(), fleet.hostErrors());
+        CHECK(outcomes.back().isCorrect());
+    }
+    const auto exitCode = fleet.host(1).waitExit(GenerousDeadline);
+    REQUIRE(exitCode);
+    CHECK(*exitCode == 0);
+    CHECK(traffic.waitForCorrect(SomeCalls));
+    const auto items = traffic.stop();
+    // Calls that the traffic had in progress at the stopped host must have ended well, too.
+    CHECK(unexplained(items, fleet.size()) == 0);
+    auto all = outcomesOf(items);
+    all.insert(all.end(), outcomes.begin(), outcomes.end());
+    const auto verdict = verify(all, fleet.engines().records());
+    CAPTURE(verdict.violations, verdict.correct, verdict.refused);
+    CHECK(verdict.violations.empty());
+}
+
+// Guards against requests that need no agreement and wait for the log, and keyed ones that run without a claim.
+TEST_CASE("without the log, requests without keys go on and keyed ones are refused as not run", "[fleet][failures]")
+{
+    Fleet fleet;
+    fleet.start();
+    Traffic traffic(fleet, Threads, ShortAnswer);
+    REQUIRE(traffic.waitForCorrect(SomeCalls));
+    fleet.log().setOptions({ { "outage", true } });
+    CHECK(traffic.waitForCorrect(SomeCalls));
+    const auto refused = print(fleet, 0, "order-1").json();
+    CHECK(textField(refused, "reason") == "claims_unavailable");
+    CHECK(textField(refused, "executed") == "no");
+    CHECK(fleet.services().records().empty());
+    fleet.log().setOptions({ { "outage", false } });
+    CHECK(waitFor([&] {
+        return print(fleet, 0, "order-2").status == 200;
+    }));
+    const auto items = traffic.stop();
+    CHECK(unexplained(items, fleet.size()) == 0);
+    const auto verdict = verify(outcomesOf(items), fleet.engines().records());
+    CAPTURE(verdict.violations, verdict.correct, verdict.refused, fleet.hostErrors());
+    CHECK(verdict.violations.empty());
+}
+
+// Guards against claims that are made twice, or lost, when the log's answer to an append is lost.
+TEST_CASE("a claim whose append answer is lost is found by reading", "[fleet][failures]")
+{
+    Fleet fleet;
+    fleet.start();
+    fleet.log().setOptions({ { "lose_answers", 1 } });
+    const auto answer = print(fleet, 0, "order-1");
+    INFO(answer.body << fleet.hostErrors());
+    CHECK(answer.status == 200);
+    CHECK(textField(print(fleet, 1, "order-1").json(), "reason") == "duplicate_request");
+    CHECK(fleet.services().records().size() == 1);
+}
+
+// Guards against a restarted host that serves without, or never gets, the configuration in force.
+TEST_CASE("a host restarted without the log gets its configuration from a peer", "[fleet][failures]")
+{
+    Fleet fleet;
+    fleet.start();
+    fleet.log().setOptions({ { "outage", true } });
+    fleet.host(0).kill();
+    fleet.startHost(0);
+    INFO(fleet.hostErrors());
+    REQUIRE(fleet.waitReady(0));
+    CHECK(waitFor([&] {
+        return chat(fleet.chatCall(0, "after the restart", ShortAnswer)).isCorrect();
+    }));
+}
+
+// Guards against new work for a target that is about to be taken away.
+TEST_CASE("a leaving target gets no new work after a few seconds", "[fleet][failures]")
+{
+    Fleet fleet;
+    fleet.start();
+    Traffic traffic(fleet, Threads, ShortAnswer);
+    const auto isUsedSince = [&](std::uint16_t port, std::int64_t time) {
+        const auto records = fleet.engines().records();
+        return std::any_of(records.begin(), records.end(), [&](const StandinRecord &record) {
+            return record.port == port && record.receivedUs >= time;
+        });
+    };
+    const auto leaving = fleet.engines().port(0);
+    REQUIRE(waitFor([&] {
+        return isUsedSince(leaving, 0);
+    }));
+    fleet.list("targets", fleet.engineId(0), "leaving");
+    const auto bound = wallClockUs() + std::chrono::microseconds(LeavingBound).count();
+    REQUIRE(waitFor([&] {
+        return wallClockUs() >= bound;
+    }));
+    CHECK(traffic.waitForCorrect(SomeCalls));
+    const auto items = traffic.stop();
+    CHECK_FALSE(isUsedSince(leaving, bound));
+    CHECK(isUsedSince(fleet.engines().port(1), bound));
+    const auto verdict = verify(outcomesOf(items), fleet.engines().records());
+    CAPTURE(verdict.violations, verdict.correct, verdict.refused, fleet.hostErrors());
+    CHECK(verdict.violations.empty());
+}
--- /dev/null
+++ b/tests/integration/traffic.cpp
@@ -0,0 +1,132 @@
+#include "tests/integration/traffic.h"
+
+#include "tests/integration/waitfor.h"
+
+#include <algorithm>
+
+namespace sapphirecove::integration {
+
+namespace {
+
+/** Calls of one run, so that a fast refusal can't lead to endless traffic. */
+constexpr std::size_t MaxCalls = 20'000;
+/** Pause of a thread after a call that wasn't answered, as clients make between attempts. */
+constexpr auto PauseAfterFailure = std::chrono::milliseconds(20);
+
+} // namespace
+
+Traffic::Traffic(const Fleet &fleet, std::size_t threads, int maxTokens)
+    : m_fleet(fleet)
+    , m_maxTokens(maxTokens)
+{
+    for (std::size_t thread = 0; thread < threads; ++thread) {
+        m_threads.emplace_back([this, thread] {
+            send(thread);
+        });
+    }
+}
+
+Traffic::~Traffic()
+{
+    stop();
+}
+
+void Traffic::avoid(std::size_t host)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_avoided.insert(host);
+}
+
+std::optional<std::size_t> Traffic::chooseHost(std::size_t number)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (std::size_t step = 0; step < m_fleet.size(); ++step) {
+        const std::size_t host = (number + step) % m_fleet.size();
+        if (!m_avoided.contains(host)) {
+            return host;
+        }
+    }
+    return std::nullopt;
+}
+
+void Traffic::send(std::size_t thread)
+{
+    for (std::size_t number = m_number++; !m_stopping && number < MaxCalls; number = m_number++) {
+        const auto host = chooseHost(number);
+        if (!host) {
+            return;
+        }
+        const auto prompt = "thread " + std::to_string(thread) + " call " + std::to_string(number);
+        const auto started = std::chrono::steady_clock::now();
+        auto outcome = chat(m_fleet.chatCall(*host, prompt, m_maxTokens));
+        const bool isCorrect = outcome.isCorrect();
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_items.push_back({ *host, started, std::move(outcome) });
+        }
+        if (!isCorrect) {
+            std::this_thread::sleep_for(PauseAfterFailure);
+        }
+    }
+}
+
+bool Traffic::waitForCorrect(std::size_t count)
+{
+    const auto from = std::chrono::steady_clock::now();
+    return waitFor([&] {
+        const std::scoped_lock lock(m_mutex);
+        const auto correct = std::count_if(m_items.begin(), m_items.end(), [&](const TrafficItem &item) {
+            return item.started >= from && item.outcome.isCorrect();
+        });
+        return static_cast<std::size_t>(correct) >= count;
+    });
+}
+
+std::vector<TrafficItem> Traffic::stop()
+{
+    m_stopping = true;
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+    m_threads.clear();
+    return m_items;
+}
+
+Verdict verify(const std::vector<ChatOutcome> &outcomes, const std::vector<StandinRecord> &records)
+{
+    Verdict verdict;
+    std::map<std::string, int> received;
+    std::map<std::string, int> bodies;
+    for (const auto &record : records) {
+        if (record.requestId.empty()) {
+            verdict.violations.push_back("request without id: " + record.bodyHash);
+        }
+        if (++received[record.requestId] == 2) {
+            verdict.violations.push_back("request id received twice: " + record.requestId);
+        }
+        if (++bodies[record.bodyHash] == 2) {
+            verdict.violations.push_back("body received twice: " + record.bodyHash);
+        }
+    }
+    for (const auto &outcome : outcomes) {
+        const bool wasReceived = bodies.contains(outcome.bodyHash);
+        if (outcome.isCorrect()) {
+            ++verdict.correct;
+        }
+        if (!outcome.reason.empty()) {
+            ++verdict.refused[outcome.reason];
+        }
+        if (!outcome.isPrefix() || (outcome.status == 200 && outcome.isComplete && !outcome.isCorrect())) {
+            verdict.violations.push_back("wrong answer: " + outcome.content + " instead of " + outcome.expected);
+        }
+        if (outcome.isCorrect() && !wasReceived) {
+            verdict.violations.push_back("answered without execution: " + outcome.bodyHash);
+        }
+        if (outcome.executed == "no" && wasReceived) {
+            verdict.violations.push_back("refused as not run, but received: " + outcome.reason);
+        }
+    }
+    return verdict;
+}
+
+} // namespace sapphirecove::integration
--- /dev/null
+++ b/tests/integration/traffic.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "tests/integration/fleet.h"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace sapphirecove::integration {
+
+/** Request of background traffic with what came of it. */
+struct TrafficItem
+{
+    std::size_t host = 0;
+    std::chrono::steady_clock::time_point started;
+    ChatOutcome outcome;
+};
+
+/** Streamed calls with different prompts from several threads, to all hosts in turn, until stopped. */
+class Traffic
+{
+public:
+    Traffic(const Fleet &fleet, std::size_t threads, int maxTokens);
+    ~Traffic();
+    Traffic(const Traffic &) = delete;
+    Traffic &operator=(const Traffic &) = delete;
+
+    /** Sends no more calls to @p host, as a load balancer does for a host that isn't ready. */
+    void avoid(std::size_t host);
+    /** Waits until @p count calls that started from now on have been answered correctly. */
+    bool waitForCorrect(std::size_t count);
+    /** Ends the traffic after the calls in progress; returns all calls. */
+    std::vector<TrafficItem> stop();
+
+private:
+    void send(std::size_t thread);
+    std::optional<std::size_t> chooseHost(std::size_t number);
+
+    const Fleet &m_fleet;
+    int m_maxTokens;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<std::size_t> m_number = 0;
+    std::mutex m_mutex; // guards the two below
+    std::set<std::size_t> m_avoided;
+    std::vector<TrafficItem> m_items;
+    std::vector<std::thread> m_threads;
+};
+
+/** Violations found when outcomes are compared with what the stand-ins received. */
+struct Verdict
+{
+    std::vector<std::string> violations;
+    std::size_t correct = 0;
+    std::map<std::string, std::size_t> refused; /**< by reason */
+};
+
+/**
+ * Checks outcomes of calls with different bodies: no request id and no body was received twice, each complete answer
+ * is the right one and was executed once, an incomplete one has no byte of another answer, and no refusal with
+ * "executed: no" was received by any stand-in.
+ */
+Verdict verify(const std::vector<ChatOutcome> &outcomes, const std::vector<StandinRecord> &records);
+
+} // namespace sapphirecove::integration
