--- /dev/null
+++ b/src/coordination/claimtable.h
@@ -0,0 +1,224 @@
+#pragma once
+
+#include "state/identifiers.h"
+#include "state/logrecord.h"
+#include "state/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sapphirecove::coordination {
+
+/** Identity of this host and limits of its claim table. */
+struct ClaimTableOptions
+{
+    state::HostId host;
+    state::Incarnation incarnation = 0;
+    state::Duration retention = std::chrono::hours(24); /**< not longer than the log keeps records */
+    std::size_t maxClaims = 300'000; /**< claims in force, above which new claims of this host are refused */
+};
+
+/** State of an idempotency key. */
+enum class KeyState {
+    Free,
+    Held, /**< a claim is in force; its request may run or have run */
+    Finished,
+};
+
+/** What the log says of an idempotency key. */
+struct KeyView
+{
+    KeyState state = KeyState::Free;
+    state::ClaimId claim;
+    state::HostId host;
+    state::Incarnation incarnation = 0;
+    int status = 0; /**< HTTP status, finished keys only */
+};
+
+/** Result of one of this host's own claims. */
+enum class ClaimResult {
+    Unknown, /**< never proposed, already ended, or abandoned because records were missed */
+    Pending, /**< not read back from the log yet */
+    Won,
+    Lost,
+};
+
+/**
+ * Idempotency keys within the retention time of the log, and this host's own claims on them.
+ *
+ * A claim wins if, at its position in the log, no other claim on its key is in force. A claim is in force from its
+ * record until it is released, or until records are more than the retention time younger; times are those of the log
+ * records. Claims that lost are in force too, so the verdict depends only on records within the retention time: a
+ * reader that starts later, for which earlier records have expired, may see a key as held that is free, but never one
+ * as free that is held. The owner of a claim that lost therefore releases it. A verdict never changes, and a record
+ * that names a claim id that was read before has no effect.
+ *
+ * Records of this host are appended again until they are read back, since the answer to an append can be lost.
+ */
+class ClaimTable
+{
+public:
+    /** At most one append in this time; claims that arrive meanwhile share it. */
+    static constexpr state::Duration BatchInterval = std::chrono::milliseconds(20);
+    /** Most records in one append. */
+    static constexpr std::size_t MaxBatchRecords = 256;
+    /** A record that was not read back is appended again after this time. */
+    static constexpr state::Duration RepeatInterval = std::chrono::milliseconds(500);
+    /** Most own claims that have not ended. */
+    static constexpr std::size_t MaxOwnClaims = 8192;
+    /** Most releases and results that wait to be read back; further ones are dropped, and their keys stay held. */
+    static constexpr std::size_t MaxUnconfirmed = 8192;
+    /** Longest wait between appends while the log refuses them. */
+    static constexpr state::Duration MaxBackoff = std::chrono::seconds(1);
+
+    static ClaimTable create(const ClaimTableOptions &options);
+
+    // Entries refer to elements of m_owners, which a copy would not own.
+    ClaimTable(const ClaimTable &) = delete;
+    ClaimTable &operator=(const ClaimTable &) = delete;
+    ClaimTable(ClaimTable &&) = default;
+    ClaimTable &operator=(ClaimTable &&) = default;
+    ~ClaimTable() = default;
+
+    /**
+     * Starts the handling of a read; @p first is the oldest offset that the log keeps. If records were missed, pending
+     * own claims are abandoned: a claim that expired unread may hold their keys. A claim that is proposed later is
+     * safe, since its record will be more than the retention time younger than all records that were missed.
+     */
+    void readFrom(state::Offset first);
+
+    /** Takes the next record of the stream; records before readPosition() and of other streams are ignored. */
+    void apply(const state::StoredRecord &stored);
+
+    /** Ends the handling of a read; @p next is the offset after it and @p atEnd is true if no newer record existed. */
+    void readTo(state::Offset next, bool atEnd);
+
+    /** Returns the offset from which the stream is to be read next. */
+    state::Offset readPosition() const;
+
+    /** Returns whether the stream was read to its end once since start. Until then view() may miss claims. */
+    bool isCaughtUp() const;
+
+    /**
+     * Returns what the log says of a key, as of the last record read: the oldest claim in force. A request whose key is
+     * not Free can be answered without a claim of its own.
+     */
+    KeyView view(const state::CustomerId &customer, std::string_view key) const;
+
+    /**
+     * Queues a claim of this host. Returns false if the table is full, the stream was never read to its end or the id
+     * is in use; the request must then be rejected. The caller may dispatch only while result() says Won, and must end
+     * the claim with abandon or finish.
+     */
+    bool propose(const state::ClaimId &claim, const state::CustomerId &customer, std::string_view key);
+
+    /** Returns the result of an own claim that has not ended. */
+    ClaimResult result(const state::ClaimId &claim) const;
+
+    /** Ends an own claim whose request was never dispatched and never will be. It is released once it was read back. */
+    void abandon(const state::ClaimId &claim);
+
+    /** Ends an own claim whose request was dispatched; @p status is the HTTP status sent to the caller. */
+    void finish(const state::ClaimId &claim, int status);
+
+    /** Returns own claims that are in force without a request, whose release has not been read back. */
+    std::vector<state::ClaimId> unusedClaims() const;
+
+    /** Returns the records for the next append; empty if none is due. */
+    std::vector<state::LogRecord> takeBatch(state::Time now);
+
+    /** Delays the next append after the log refused one or did not answer. */
+    void appendFailed(state::Time now);
+
+    /** Returns the number of claims in force. */
+    std::size_t size() const;
+
+private:
+    /** 128-bit hash of customer and key. */
+    struct KeyHash
+    {
+        std::uint64_t low = 0;
+        std::uint64_t high = 0;
+        bool operator==(const KeyHash &other) const = default;
+    };
+    struct KeyHasher
+    {
+        std::size_t operator()(const KeyHash &key) const
+        {
+            return key.low;
+        }
+    };
+    /** Owners of the claims in force, with the number of their claims. */
+    using Owners = std::map<std::pair<state::HostId, state::Incarnation>, std::size_t>;
+    struct Entry
+    {
+        state::ClaimId claim;
+        Owners::iterator owner;
+        std::int16_t status = 0;
+        KeyState state = KeyState::Held;
+    };
+    /** Claims in force on each key, in log order. */
+    using KeyMap = std::unordered_map<KeyHash, std::vector<Entry>, KeyHasher>;
+    struct Expiry
+    {
+        state::Time time{}; /**< log time of the claim */
+        KeyHash key;
+        std::uint64_t claim = 0; /**< hash of the claim id */
+    };
+    struct OwnClaim
+    {
+        state::ClaimMade record;
+        ClaimResult result = ClaimResult::Pending;
+    };
+    /** Claims whose records are to be appended: first the new ones, then those due again. */
+    struct Outbox
+    {
+        std::deque<state::ClaimId> fresh;
+        std::deque<std::pair<state::Time, state::ClaimId>> repeats; /**< in order of time */
+
+        std::optional<state::ClaimId> next(state::Time now);
+        void sent(const state::ClaimId &claim, state::Time now);
+    };
+
+    explicit ClaimTable(const ClaimTableOptions &options);
+
+    static KeyHash hashOf(std::string_view customer, std::string_view key);
+    void applyClaim(const state::ClaimMade &claim);
+    void applyReleased(const state::ClaimReleased &released);
+    void applyFinished(const state::ClaimFinished &finished);
+    void resolveOwn(const state::ClaimMade &claim, bool won);
+    bool isOwn(const state::ClaimMade &claim) const;
+    Entry *find(const KeyHash &key, const state::ClaimId &claim);
+    void release(const state::ClaimMade &claim);
+    void confirm(const state::ClaimId &claim);
+    void addUnconfirmed(const state::ClaimId &claim, state::LogRecord record);
+    void expire(state::Time time);
+    void remove(const KeyHash &key, std::uint64_t claim);
+    void takeClaims(state::Time now, std::vector<state::LogRecord> &batch);
+    void takeUnconfirmed(state::Time now, std::vector<state::LogRecord> &batch);
+
+    ClaimTableOptions m_options;
+    Owners m_owners;
+    KeyMap m_keys;
+    std::size_t m_size = 0;
+    std::deque<Expiry> m_expiry; /**< in order of time */
+    std::unordered_map<std::uint64_t, state::Time> m_released; /**< hash of each released claim id, log time */
+    std::deque<std::pair<state::Time, std::uint64_t>> m_releasedExpiry;
+    std::map<state::ClaimId, OwnClaim> m_own;
+    std::map<state::ClaimId, state::LogRecord> m_unconfirmed; /**< releases and results not read back */
+    Outbox m_claimOutbox;
+    Outbox m_endOutbox;
+    state::Offset m_position = 0;
+    state::Time m_logTime{};
+    bool m_caughtUp = false;
+    state::Time m_nextBatch{};
+    state::Duration m_backoff{};
+};
+
+} // namespace sapphirecove::coordination
