--- /dev/null
+++ b/scripts/demo/demo.py
@@ -0,0 +1,299 @@
+"""Shows a fleet of 6 hosts of one user while hosts fail; started by scripts/demo.sh."""
+
+import argparse
+import hashlib
+import http.client
+import json
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+DEMO_KEY = "key-of-the-demonstration"
+OPERATORS_KEY = "key-of-the-operators"
+FLEET_KEY = "key-of-the-fleet"
+HOSTS = 6
+FIRST_HOST_PORT = 24000  # callers; operators and peers listen on the next two
+START_DEADLINE_S = 30
+USERS = {
+    "adinkra": {
+        "domains": ["accra-osu", "accra-tema", "kumasi-adum"],
+        "model": "layout-llm",
+        "action": "/services/orders-app/print/badges",
+    },
+    "daegu": {
+        "domains": ["suseong", "dalseo", "pangyo"],
+        "model": "index-llm",
+        "action": "/services/catalogue-app/commit/volume-3",
+    },
+}
+
+
+def merge(base, more):
+    """Merges objects by key; later scalars and arrays replace earlier ones."""
+    for key, value in more.items():
+        if isinstance(value, dict) and isinstance(base.get(key), dict):
+            merge(base[key], value)
+        else:
+            base[key] = value
+    return base
+
+
+class Demo:
+    def __init__(self, user, binaries, source, folder):
+        self.user = USERS[user]
+        self.binaries = binaries
+        self.folder = folder
+        self.config_folder = folder / "config"
+        self.processes = {}
+        shutil.copytree(source / "examples" / user, self.config_folder)
+        self.write_demo_customer()
+        self.config = {}
+        for file in sorted(self.config_folder.glob("*.json")):
+            merge(self.config, json.loads(file.read_text()))
+
+    def write_demo_customer(self):
+        """Adds a customer whose key this script knows to the copy of the configuration."""
+        key_hash = hashlib.sha256(DEMO_KEY.encode()).hexdigest()
+        customer = {"key_hashes": [key_hash], "weight": 1, "highest_tier": "urgent", "default_tier": "urgent"}
+        document = {"customers": {"demonstration": customer}}
+        (self.config_folder / "zz-demonstration.json").write_text(json.dumps(document, indent=2))
+
+    def start(self, name, program, *arguments):
+        output = open(self.folder / f"{name}.out", "w")
+        errors = open(self.folder / f"{name}.err", "w")
+        command = [str(self.binaries / program), *map(str, arguments)]
+        self.processes[name] = subprocess.Popen(command, stdout=output, stderr=errors)
+
+    def wait_for(self, what, condition):
+        deadline = time.monotonic() + START_DEADLINE_S
+        while not condition():
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"timed out: {what}; see {self.folder}")
+            time.sleep(0.05)
+
+    def ports_of(self, name, count):
+        def ports():
+            text = (self.folder / f"{name}.out").read_text()
+            return [int(line[5:]) for line in text.splitlines() if line.startswith("port=")]
+
+        self.wait_for(f"start of {name}", lambda: len(ports()) >= count)
+        return ports()
+
+    def start_outside_systems(self):
+        pools = self.config["pools"]
+        ports = {"model": [], "service": []}
+        for target in self.config["targets"].values():
+            ports[pools[target["pool"]]["kind"]].append(target["port"])
+        speed = ["--speeds", "1,0.8,1.2,0.6"]
+        options = json.dumps({"decode_tokens_per_second": 60})
+        engine_ports = ",".join(map(str, ports["model"]))
+        self.start("engines", "sapphirecove-standins", "engine", "--ports", engine_ports, "--count",
+                   len(ports["model"]), *speed, "--options", options)
+        for port in ports["service"]:
+            self.start(f"service-{port}", "sapphirecove-standins", "service", "--port", port)
+            self.ports_of(f"service-{port}", 1)
+        self.ports_of("engines", len(ports["model"]))
+        self.start("log", "sapphirecove-standins", "log", "--port", 0)
+        hosts = [
+            {
+                "id": self.host_id(index),
+                "address": "127.0.0.1",
+                "peer_port": self.port(index) + 2,
+                "region": self.region(index),
+                "failure_domain": self.domain(index),
+                "state": "live",
+            }
+            for index in range(HOSTS)
+        ]
+        targets = [{"id": name, "state": "live"} for name in self.config["targets"]]
+        (self.folder / "hosts.json").write_text(json.dumps({"hosts": hosts, "targets": targets}))
+        self.start("list", "sapphirecove-standins", "hosts", "--port", 0, "--file", self.folder / "hosts.json")
+        print(f"started {len(ports['model'])} engines, {len(ports['service'])} plain services, log and host list")
+
+    def host_id(self, index):
+        return f"{self.domain(index)}-{index + 1}"
+
+    def domain(self, index):
+        return self.user["domains"][index % len(self.user["domains"])]
+
+    def region(self, index):
+        return self.config["failure_domains"][self.domain(index)]["region"]
+
+    @staticmethod
+    def port(index):
+        return FIRST_HOST_PORT + 3 * index
+
+    def settings(self, index):
+        return self.folder / f"{self.host_id(index)}.json"
+
+    def start_hosts(self):
+        (self.folder / "operators.key").write_text(OPERATORS_KEY)
+        (self.folder / "fleet.key").write_text(FLEET_KEY)
+        log = self.ports_of("log", 1)[0]
+        host_list = self.ports_of("list", 1)[0]
+        for index in range(HOSTS):
+            port = self.port(index)
+            listen = {"callers": port, "operators": port + 1, "peers": port + 2}
+            settings = {
+                "host": {
+                    "id": self.host_id(index),
+                    "region": self.region(index),
+                    "failure_domain": self.domain(index),
+                },
+                "listen": {name: f"127.0.0.1:{value}" for name, value in listen.items()},
+                "keys": {"operators_file": "operators.key", "fleet_file": "fleet.key"},
+                "platform": {"log": f"127.0.0.1:{log}", "host_list": f"127.0.0.1:{host_list}"},
+                "seed": index + 1,
+            }
+            self.settings(index).write_text(json.dumps(settings, indent=2))
+            self.start(self.host_id(index), "sapphirecove", "serve", "--settings", self.settings(index))
+
+    def is_ready(self, index):
+        connection = http.client.HTTPConnection("127.0.0.1", self.port(index) + 1, timeout=2)
+        try:
+            connection.request("GET", "/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def command(self, *arguments, index=0):
+        command = [str(self.binaries / "sapphirecove"), *map(str, arguments), "--settings", str(self.settings(index))]
+        result = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        shown = " ".join(["sapphirecove", *map(str, arguments)]).replace(str(self.folder), "DIR")
+        print(f"$ {shown}   (exit code {result.returncode})")
+        print((result.stdout + result.stderr).rstrip())
+        return result.returncode
+
+    def send_text(self, index, name, prompt, results):
+        """Sends one streamed call; keeps the tokens and whether the end marker arrived."""
+        body = {
+            "model": self.user["model"],
+            "stream": True,
+            "max_tokens": 240,
+            "messages": [{"role": "user", "content": prompt}],
+        }
+        result = {"host": self.host_id(index), "status": 0, "content": "", "complete": False, "other": ""}
+        results[name] = result
+        connection = http.client.HTTPConnection("127.0.0.1", self.port(index), timeout=60)
+        try:
+            headers = {"Authorization": f"Bearer {DEMO_KEY}", "Content-Type": "application/json"}
+            connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
+            response = connection.getresponse()
+            result["status"] = response.status
+            for line in response:
+                self.take_line(result, line.decode().strip())
+        except (OSError, http.client.HTTPException) as error:
+            result["other"] = f"connection lost: {error}"
+        finally:
+            connection.close()
+
+    @staticmethod
+    def take_line(result, line):
+        if line == "data: [DONE]":
+            result["complete"] = True
+        elif line.startswith("data: "):
+            chunk = json.loads(line[6:])
+            for choice in chunk.get("choices", []):
+                result["content"] += choice.get("delta", {}).get("content", "")
+            if "reason" in chunk:
+                result["other"] = f"{chunk['reason']}, executed: {chunk['executed']}"
+        elif line:
+            result["other"] += line
+
+    def call_service(self, index, key):
+        connection = http.client.HTTPConnection("127.0.0.1", self.port(index), timeout=30)
+        try:
+            headers = {"Authorization": f"Bearer {DEMO_KEY}", "Idempotency-Key": key}
+            connection.request("POST", self.user["action"], "{}", headers)
+            response = connection.getresponse()
+            print(f"{self.host_id(index)}: status {response.status} {response.read().decode().strip()}")
+        finally:
+            connection.close()
+
+    def show(self, results):
+        good = True
+        for name, result in results.items():
+            state = "complete" if result["complete"] else "NOT COMPLETE"
+            print(f"{name} at {result['host']}: status {result['status']}, {len(result['content']) // 4} tokens, {state}"
+                  f" {result['other']}")
+            print(f"    {result['content'][:100]}...")
+            good = good and result["complete"]
+        return good
+
+    def run(self):
+        self.start_outside_systems()
+        self.start_hosts()
+        if self.command("config", "publish", self.config_folder, "--operator", "demonstration") != 0:
+            raise RuntimeError("the configuration was not accepted")
+        for index in range(HOSTS):
+            self.wait_for(f"readiness of {self.host_id(index)}", lambda host=index: self.is_ready(host))
+        print(f"{HOSTS} hosts are ready\n")
+
+        texts = pathlib.Path(__file__).parent
+        prompts = {
+            "guest list": (texts / "guestlist.txt").read_text(),
+            "minutes": (texts / "minutes.txt").read_text(),
+        }
+        results = {}
+        threads = []
+        for index in (1, 2, 3):
+            for name, prompt in prompts.items():
+                arguments = (index, f"{name} {index}", f"{prompt}\nCopy {index}.", results)
+                threads.append(threading.Thread(target=self.send_text, args=arguments))
+        for thread in threads:
+            thread.start()
+        self.wait_for("first tokens", lambda: len(results) == 6 and all(r["content"] for r in results.values()))
+        killed, stopped = self.host_id(5), self.host_id(1)
+        print(f"all streams have begun; {killed} is killed and {stopped} is stopped gracefully")
+        self.processes[killed].kill()
+        self.processes[stopped].send_signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join()
+        good = self.show(results)
+        print(f"{stopped} ended with exit code {self.processes[stopped].wait(timeout=30)}\n")
+
+        print("one call that must not run twice, sent to two hosts with the same key:")
+        key = f"demonstration-{time.time_ns()}"
+        self.call_service(0, key)
+        self.call_service(2, key)
+        print()
+        for arguments in (("config", "status"), ("versions", "status"), ("audit",)):
+            self.command(*arguments)
+            print()
+        return good
+
+    def stop(self):
+        """Ends every process that this script started, by its id."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--user", choices=sorted(USERS), default="adinkra")
+    parser.add_argument("--bin", type=pathlib.Path, required=True)
+    arguments = parser.parse_args()
+    source = pathlib.Path(__file__).resolve().parents[2]
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="sapphirecove-demo-"))
+    demo = Demo(arguments.user, arguments.bin.resolve(), source, folder)
+    try:
+        good = demo.run()
+    finally:
+        demo.stop()
+    shutil.rmtree(folder)
+    print("every answer arrived whole" if good else "an answer is missing")
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/logservice.cpp
+++ b/standins/logservice.cpp
@@ -101,6 +101,12 @@
     for (const auto &value : records->get_array()) {
         stream.records.push_back({ wallClockMs(), value });
     }
+    if (m_options.outageAtAppendTo == name) {
+        m_options.outageAtAppendTo.clear();
+        m_options.outage = true;
+        connection->abort();
+        return;
+    }
     serveWaiters();
     if (m_options.loseAnswers > 0) {
         --m_options.loseAnswers;
--- a/standins/logservice.h
+++ b/standins/logservice.h
@@ -19,6 +19,8 @@
     bool outage = false; /**< every call is answered with status 503 */
     bool silent = false; /**< calls have no effect and get no answer: the connection is closed */
     int loseAnswers = 0; /**< the next so many appends take effect and get no answer */
+    std::string
+        outageAtAppendTo; /**< the next append to this stream takes effect, gets no answer, and begins an outage */
     int staleReadMs = 0; /**< reads don't show records younger than this */
 };
 
@@ -31,6 +33,7 @@
     visitor("outage", options.outage);
     visitor("silent", options.silent);
     visitor("lose_answers", options.loseAnswers);
+    visitor("outage_at_append_to", options.outageAtAppendTo);
     visitor("stale_read_ms", options.staleReadMs);
 }
 
