Use the example configurations in the demonstration and the load mixes

The demonstration had its own texts and added a customer, although the examples come with texts and keys. It now takes both from examples/ and gives each engine the speed that the configuration declares for it. The load generator reads the same key files.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <fstream>
 #include <iostream>
+#include <sstream>
 #include <stdexcept>
 
 using namespace sapphirecove::load;
@@ -17,6 +18,7 @@
 {
     std::vector<std::string> hosts;
     std::vector<std::string> customers;
+    std::string keys;
     std::vector<std::string> classes;
     std::string user = "adinkra";
     std::string model;
@@ -53,6 +55,25 @@
     return customer;
 }
 
+/** Reads lines of a customer's name and key; lines that start with # are comments. */
+std::vector<LoadCustomer> customersFrom(const std::string &path)
+{
+    std::vector<LoadCustomer> customers;
+    std::ifstream file(path);
+    std::string line;
+    while (std::getline(file, line)) {
+        std::istringstream words(line);
+        LoadCustomer customer;
+        if (!line.starts_with('#') && words >> customer.name >> customer.key) {
+            customers.push_back(customer);
+        }
+    }
+    if (customers.empty()) {
+        throw std::invalid_argument("--keys: no customers in " + path);
+    }
+    return customers;
+}
+
 std::vector<RequestClass> selectedClasses(const Arguments &arguments)
 {
     auto classes = classesOf(arguments.user);
@@ -73,7 +94,7 @@
     for (const auto &host : arguments.hosts) {
         arguments.run.hosts.push_back(hostFrom(host));
     }
-    std::vector<LoadCustomer> customers;
+    auto customers = arguments.keys.empty() ? std::vector<LoadCustomer>() : customersFrom(arguments.keys);
     for (const auto &customer : arguments.customers) {
         customers.push_back(customerFrom(customer));
     }
@@ -112,6 +133,8 @@
     app.set_version_flag("--version", SAPPHIRECOVE_VERSION);
     app.add_option("--host", arguments.hosts, "Addresses ADDRESS:PORT, used in turn.")->required();
     app.add_option("--customer", arguments.customers, "Customers NAME=KEY or NAME=KEY=SHARE.");
+    app.add_option("--keys", arguments.keys, "File with one customer and its key in each line.")
+        ->check(CLI::ExistingFile);
     app.add_option("--user", arguments.user, "Mix of requests.")->check(CLI::IsMember({ "adinkra", "daegu" }));
     app.add_option("--class", arguments.classes, "Request classes of the mix to send; all by default.");
     app.add_option("--model", arguments.model, "Model of the chat calls; the user's by default.");
--- a/bench/workload.h
+++ b/bench/workload.h
@@ -15,6 +15,7 @@
     std::string tier; /**< name of the tier; sent as X-Tier */
     bool isChat = true;
     int promptTokens = 0; /**< median; lengths are spread log-normally around it */
+    int maxPromptTokens = 0; /**< longer draws are cut, as every target must be able to take a prompt */
     int templateBytes = 0; /**< start of the prompt that all requests of this class and customer share */
     int maxTokens = 0;
     std::string method; /**< plain-service calls only */
--- a/scripts/demo/demo.py
+++ b/scripts/demo/demo.py
@@ -1,7 +1,6 @@
 """Shows a fleet of 6 hosts of one user while hosts fail; started by scripts/demo.sh."""
 
 import argparse
-import hashlib
 import http.client
 import json
 import pathlib
@@ -13,7 +12,6 @@
 import threading
 import time
 
-DEMO_KEY = "key-of-the-demonstration"
 OPERATORS_KEY = "key-of-the-operators"
 FLEET_KEY = "key-of-the-fleet"
 HOSTS = 6
@@ -46,23 +44,18 @@
 class Demo:
     def __init__(self, user, binaries, source, folder):
         self.user = USERS[user]
+        self.examples = source / "examples"
+        self.texts = self.examples / user / "texts"
+        lines = (self.examples / user / "keys.txt").read_text().splitlines()
+        self.key = next(line.split()[1] for line in lines if line and not line.startswith("#"))
         self.binaries = binaries
         self.folder = folder
-        self.config_folder = folder / "config"
+        self.config_folder = self.examples / user / "config"
         self.processes = {}
-        shutil.copytree(source / "examples" / user, self.config_folder)
-        self.write_demo_customer()
         self.config = {}
         for file in sorted(self.config_folder.glob("*.json")):
             merge(self.config, json.loads(file.read_text()))
 
-    def write_demo_customer(self):
-        """Adds a customer whose key this script knows to the copy of the configuration."""
-        key_hash = hashlib.sha256(DEMO_KEY.encode()).hexdigest()
-        customer = {"key_hashes": [key_hash], "weight": 1, "highest_tier": "urgent", "default_tier": "urgent"}
-        document = {"customers": {"demonstration": customer}}
-        (self.config_folder / "zz-demonstration.json").write_text(json.dumps(document, indent=2))
-
     def start(self, name, program, *arguments):
         output = open(self.folder / f"{name}.out", "w")
         errors = open(self.folder / f"{name}.err", "w")
@@ -86,14 +79,22 @@
 
     def start_outside_systems(self):
         pools = self.config["pools"]
-        ports = {"model": [], "service": []}
+        targets = {"model": [], "service": []}
         for target in self.config["targets"].values():
-            ports[pools[target["pool"]]["kind"]].append(target["port"])
-        speed = ["--speeds", "1,0.8,1.2,0.6"]
-        options = json.dumps({"decode_tokens_per_second": 60})
+            targets[pools[target["pool"]]["kind"]].append(target)
+        ports = {kind: [target["port"] for target in members] for kind, members in targets.items()}
+        # The engines are as fast as the configuration declares them.
+        capacity = pools[targets["model"][0]["pool"]]["capacity"]
+        names = ("streams", "prefill_tokens_per_second", "decode_tokens_per_second")
+        options = json.dumps({name: capacity[name] for name in names})
+        base = capacity["decode_tokens_per_second"]
+        speeds = [
+            str(target.get("capacity", capacity).get("decode_tokens_per_second", base) / base)
+            for target in targets["model"]
+        ]
         engine_ports = ",".join(map(str, ports["model"]))
         self.start("engines", "sapphirecove-standins", "engine", "--ports", engine_ports, "--count",
-                   len(ports["model"]), *speed, "--options", options)
+                   len(ports["model"]), "--speeds", ",".join(speeds), "--options", options)
         for port in ports["service"]:
             self.start(f"service-{port}", "sapphirecove-standins", "service", "--port", port)
             self.ports_of(f"service-{port}", 1)
@@ -183,7 +184,7 @@
         results[name] = result
         connection = http.client.HTTPConnection("127.0.0.1", self.port(index), timeout=60)
         try:
-            headers = {"Authorization": f"Bearer {DEMO_KEY}", "Content-Type": "application/json"}
+            headers = {"Authorization": f"Bearer {self.key}", "Content-Type": "application/json"}
             connection.request("POST", "/v1/chat/completions", json.dumps(body), headers)
             response = connection.getresponse()
             result["status"] = response.status
@@ -210,7 +211,7 @@
     def call_service(self, index, key):
         connection = http.client.HTTPConnection("127.0.0.1", self.port(index), timeout=30)
         try:
-            headers = {"Authorization": f"Bearer {DEMO_KEY}", "Idempotency-Key": key}
+            headers = {"Authorization": f"Bearer {self.key}", "Idempotency-Key": key}
             connection.request("POST", self.user["action"], "{}", headers)
             response = connection.getresponse()
             print(f"{self.host_id(index)}: status {response.status} {response.read().decode().strip()}")
@@ -236,20 +237,17 @@
             self.wait_for(f"readiness of {self.host_id(index)}", lambda host=index: self.is_ready(host))
         print(f"{HOSTS} hosts are ready\n")
 
-        texts = pathlib.Path(__file__).parent
-        prompts = {
-            "guest list": (texts / "guestlist.txt").read_text(),
-            "minutes": (texts / "minutes.txt").read_text(),
-        }
+        prompts = {file.stem: file.read_text() for file in sorted(self.examples.glob("*/texts/*-short.txt"))}
+        prompts.update({file.stem: file.read_text() for file in sorted(self.texts.glob("*-long.txt"))})
         results = {}
         threads = []
         for index in (1, 2, 3):
             for name, prompt in prompts.items():
-                arguments = (index, f"{name} {index}", f"{prompt}\nCopy {index}.", results)
+                arguments = (index, f"{name} {index}", f"{prompt}\nDraft {index}.", results)
                 threads.append(threading.Thread(target=self.send_text, args=arguments))
         for thread in threads:
             thread.start()
-        self.wait_for("first tokens", lambda: len(results) == 6 and all(r["content"] for r in results.values()))
+        self.wait_for("first tokens", lambda: len(results) == len(threads) and all(r["content"] for r in results.values()))
         killed, stopped = self.host_id(5), self.host_id(1)
         print(f"all streams have begun; {killed} is killed and {stopped} is stopped gracefully")
         self.processes[killed].kill()
--- a/standins/logservice.cpp
+++ b/standins/logservice.cpp
@@ -23,7 +23,7 @@
 
 LogService::LogService(boost::asio::io_context &context, std::uint16_t port, LogOptions options)
     : m_context(context)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_waiterTimer(context)
     , m_server(context, port, [this](const Connection &connection) {
         handle(connection);
