Keep walks over all targets out of the periodic work

Each tick walked every target to find those to watch, and every 100 ms each arbiter got its targets again. Change: the watched set is recomputed when its scope changes (generation, arbitrated groups, held leases); targets are handed over after a new host list or configuration; version weights only when they differ.

--- a/src/coordination/arbiteroptions.h
+++ b/src/coordination/arbiteroptions.h
@@ -50,6 +50,8 @@
     state::VersionName version;
     int sharePerMille = 1000; /**< of the group's grants */
     bool halted = false; /**< gets nothing */
+
+    bool operator==(const VersionWeight &other) const = default;
 };
 
 /** Message that the caller has to send. */
--- a/src/coordination/arbiterset.cpp
+++ b/src/coordination/arbiterset.cpp
@@ -36,9 +36,11 @@
 void ArbiterSet::configure(std::shared_ptr<const state::Configuration> configuration, const GroupTable &groups)
 {
     m_configuration = std::move(configuration);
-    std::erase_if(m_arbiters, [&](const auto &item) {
+    const auto isGone = [&](const auto &item) {
         return groups.find(item.first) == nullptr;
-    });
+    };
+    std::erase_if(m_arbiters, isGone);
+    std::erase_if(m_weights, isGone);
     for (auto &[group, arbiter] : m_arbiters) {
         arbiter->setCustomers(customerWeights());
     }
@@ -72,27 +74,30 @@
 void ArbiterSet::stop(const state::GroupId &group)
 {
     m_arbiters.erase(group);
+    m_weights.erase(group);
 }
 
-void ArbiterSet::stopAll()
+bool ArbiterSet::contains(const state::GroupId &group) const
 {
-    m_arbiters.clear();
+    return m_arbiters.contains(group);
 }
 
-bool ArbiterSet::contains(const state::GroupId &group) const
+void ArbiterSet::refreshTargets(const GroupTable &groups, const Membership &membership, state::Time now)
 {
-    return m_arbiters.contains(group);
+    for (auto &[id, arbiter] : m_arbiters) {
+        arbiter->setTargets(targetsOf(*groups.find(id), membership), now);
+    }
 }
 
-void ArbiterSet::refresh(const GroupTable &groups,
-                         const Membership &membership,
-                         const VersionController &versions,
-                         state::Time now)
+void ArbiterSet::refreshVersions(const GroupTable &groups, const VersionController &versions)
 {
     for (auto &[id, arbiter] : m_arbiters) {
-        const Group *group = groups.find(id);
-        arbiter->setTargets(targetsOf(*group, membership), now);
-        arbiter->setVersionWeights(weightsOf(versions.shares(group->pool)));
+        std::vector<VersionWeight> weights = weightsOf(versions.shares(groups.find(id)->pool));
+        std::vector<VersionWeight> &known = m_weights[id];
+        if (weights != known) {
+            arbiter->setVersionWeights(weights);
+            known = std::move(weights);
+        }
     }
 }
 
--- a/src/coordination/arbiterset.h
+++ b/src/coordination/arbiterset.h
@@ -32,13 +32,14 @@
 
     /** Stops arbitrating a group; its hosts ask the next arbiter. */
     void stop(const state::GroupId &group);
-    void stopAll();
 
     bool contains(const state::GroupId &group) const;
 
-    /** Takes over changed target states and versions. */
-    void
-    refresh(const GroupTable &groups, const Membership &membership, const VersionController &versions, state::Time now);
+    /** Takes over changed target states; linear in the targets of the arbitrated groups. */
+    void refreshTargets(const GroupTable &groups, const Membership &membership, state::Time now);
+
+    /** Takes over changed shares of versions. */
+    void refreshVersions(const GroupTable &groups, const VersionController &versions);
 
     void ask(const state::HostId &from, const SlotAsk &ask, state::Time now, Replies &replies);
     void withdraw(const state::HostId &from, const SlotWithdraw &withdraw, state::Time now);
@@ -63,6 +64,7 @@
     TierGate &m_gate;
     std::shared_ptr<const state::Configuration> m_configuration;
     std::map<state::GroupId, std::unique_ptr<Arbiter>> m_arbiters;
+    std::map<state::GroupId, std::vector<VersionWeight>> m_weights; /**< as last given to each arbiter */
 };
 
 } // namespace sapphirecove::coordination
--- a/src/coordination/hostcoordinator.cpp
+++ b/src/coordination/hostcoordinator.cpp
@@ -146,6 +146,7 @@
     }
     m_log.versions().updateLiveTargets(std::move(live));
     m_directory.invalidate();
+    m_targetsChanged = true;
     m_nextMembershipCheck = now;
 }
 
@@ -332,6 +333,7 @@
     const auto configuration = m_log.configuration().configuration();
     m_directory.configure(*configuration);
     m_arbiters.configure(configuration, m_directory.groups());
+    m_targetsChanged = true;
     m_requests.setTargets(configuration->targets);
     m_requests.setClaimTimeout(configuration->limits.claimTimeout);
     act(ApplyConfiguration{ configuration, m_log.configuration().generation() });
--- a/src/coordination/hostcoordinator.h
+++ b/src/coordination/hostcoordinator.h
@@ -37,6 +37,15 @@
         Message message;
     };
 
+    /** Everything on which the set of watched targets depends. */
+    struct WatchScope
+    {
+        state::Generation generation = 0;
+        std::vector<state::GroupId> groups;
+        std::set<state::PoolId> pools;
+        bool operator==(const WatchScope &other) const = default;
+    };
+
     void on(const Tick &event, state::Time now);
     void on(const RequestArrived &event, state::Time now);
     void on(const CallerDisconnected &event, state::Time now);
@@ -105,7 +114,8 @@
     std::set<state::RequestId> m_claiming;
     std::set<state::GroupId> m_reported; /**< groups in which this host had dispatches at the last report */
     std::vector<state::HostId> m_alive;
-    std::set<state::TargetId> m_watched;
+    WatchScope m_watchScope;
+    bool m_targetsChanged = true;
     state::Time m_lastTick{};
     state::Time m_nextMembershipCheck{};
     state::Time m_nextHeartbeat{};
--- a/src/coordination/hostcoordinatorduties.cpp
+++ b/src/coordination/hostcoordinatorduties.cpp
@@ -3,6 +3,7 @@
 #include "coordination/hostcoordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphirecove::coordination {
 
@@ -36,7 +37,6 @@
     reportOutstanding(now);
     updateReadiness(now);
     sendHeartbeats(now);
-    watchTargets(now);
     continueDrain(now);
 }
 
@@ -81,7 +81,11 @@
     for (const state::GroupId &group : m_directory.refresh(m_membership, now)) {
         followArbiter(group, now);
     }
-    m_arbiters.refresh(m_directory.groups(), m_membership, m_log.versions(), now);
+    if (std::exchange(m_targetsChanged, false)) {
+        m_arbiters.refreshTargets(m_directory.groups(), m_membership, now);
+    }
+    m_arbiters.refreshVersions(m_directory.groups(), m_log.versions());
+    watchTargets(now);
 }
 
 void HostCoordinator::followArbiter(const state::GroupId &group, state::Time now)
@@ -159,26 +163,25 @@
 void HostCoordinator::watchTargets(state::Time now)
 {
     const auto configuration = m_log.configuration().configuration();
-    if (!configuration) {
+    WatchScope scope{ m_log.configuration().generation(), m_arbiters.groups(), {} };
+    for (const auto &[pool, settings] : configuration->pools) {
+        if (m_log.holdsLease(pool, now)) {
+            scope.pools.insert(pool);
+        }
+    }
+    // Comparing the scope keeps the walk over all targets out of the periodic work.
+    if (scope == m_watchScope) {
         return;
     }
-    std::set<state::TargetId> wanted;
+    m_watchScope = std::move(scope);
+    WatchTargets watch;
     for (const auto &[id, target] : configuration->targets) {
         const Group *group = m_directory.groups().groupOfTarget(id);
         const bool model = configuration->pools.at(target.pool).kind == state::PoolKind::Model;
-        if (model && (m_arbiters.contains(group->id) || m_log.holdsLease(target.pool, now))) {
-            wanted.insert(id);
+        if (model && (m_arbiters.contains(group->id) || m_watchScope.pools.contains(target.pool))) {
+            watch.targets.push_back(WatchedTarget{ id, target.address, target.port });
         }
     }
-    if (wanted == m_watched) {
-        return;
-    }
-    m_watched = std::move(wanted);
-    WatchTargets watch;
-    for (const state::TargetId &id : m_watched) {
-        const state::Target &target = configuration->targets.at(id);
-        watch.targets.push_back(WatchedTarget{ id, target.address, target.port });
-    }
     act(std::move(watch));
 }
 
