--- a/tests/coordination/versioncontroller.cpp
+++ b/tests/coordination/versioncontroller.cpp
@@ -99,6 +99,15 @@
     }
 }
 
+// Guards against a version that never answers: its requests end only when their callers give up.
+TEST_CASE("a version that hangs is halted", "[versioncontroller]")
+{
+    auto controller = create();
+    controller.apply({ 0, Start, step(state::ChangeState::Shifting, 10) }, Start);
+    CHECK_FALSE(controller.observe(release("v2", GrantOutcome::Cancelled), "", Start));
+    CHECK(controller.observe(release("v2", GrantOutcome::Cancelled), "", Start + 2s));
+}
+
 // Guards against a fault on one route that the good answers of all others hide.
 TEST_CASE("a version that fails on one route is halted", "[versioncontroller]")
 {
