--- a/src/coordination/grouparbiter.cpp
+++ b/src/coordination/grouparbiter.cpp
@@ -102,10 +102,7 @@
         denial.retryAfter = state::durationFromSeconds(MinimumRetrySeconds);
         return denial;
     }
-    const double output = m_averages.expectedOutput(ask.maxOutputTokens);
-    const bool infeasible = now + m_targets.fastest(ask, 0, output) > ask.deadline
-        && now + m_targets.fastest(ask, m_targets.mostCachedTokens(ask), output) > ask.deadline;
-    return infeasible ? std::optional(denial) : std::nullopt;
+    return isTooLate(ask, now) ? std::optional(denial) : std::nullopt;
 }
 
 WaitingAsk GroupArbiter::prepare(const state::HostId &from, const SlotAsk &ask, state::Time now) const
@@ -118,6 +115,17 @@
              .latestStart = ask.deadline - m_targets.fastest(ask, 0, output) };
 }
 
+bool GroupArbiter::isTooLate(const SlotAsk &ask, state::Time start) const
+{
+    const double output = m_averages.expectedOutput(ask.maxOutputTokens);
+    if (start + m_targets.fastest(ask, 0, output) <= ask.deadline) {
+        return false;
+    }
+    // Looking up the prefixes of all targets takes most of a decision's time, so it is left to the rare close cases.
+    return start + m_targets.fastest(ask, ask.promptTokens, output) > ask.deadline
+        || start + m_targets.fastest(ask, m_targets.mostCachedTokens(ask), output) > ask.deadline;
+}
+
 bool GroupArbiter::isHopeless(const WaitingAsk &waiting, state::Time now) const
 {
     const int streams = m_targets.totalStreams();
@@ -127,9 +135,8 @@
     const SlotAsk &ask = waiting.ask;
     const double work = m_queue.workAhead(ask.tier, ask.customer, ask.deadline);
     const double wait = (work + m_averages.seconds()) / streams;
-    const std::uint32_t cached = m_targets.mostCachedTokens(ask);
-    const state::Duration service = m_targets.fastest(ask, cached, m_averages.expectedOutput(ask.maxOutputTokens));
-    return now + state::durationFromSeconds(wait) + service > ask.deadline;
+    const state::Time start = now + state::durationFromSeconds(wait);
+    return isTooLate(ask, start);
 }
 
 void GroupArbiter::enqueue(WaitingAsk waiting, state::Time now)
@@ -326,8 +333,8 @@
     if (TargetModel *model = m_targets.model(record->target)) {
         model->released(record->work, release, now);
     }
-    m_grants.remove(release.grant);
-    m_targets.ejectFailing(now);
+    const std::optional<GrantRecord> ended = m_grants.remove(release.grant);
+    m_targets.ejectIfFailing(ended->target, now);
     schedule(now, replies);
 }
 
--- a/src/coordination/targetmodel.h
+++ b/src/coordination/targetmodel.h
@@ -155,22 +155,24 @@
     void removePrefill(const PlannedWork &work, state::Time now);
     std::optional<int> streamsAt(state::Time time) const;
 
+    // Every selection reads these members of all targets, so they stand together.
+    Health m_health = Health::Normal;
+    bool m_probeOutstanding = false;
     state::PoolKind m_kind;
+    int m_streams = 0;
+    int m_otherStreams = 0;
+    state::Time m_reportReceivedAt{};
+    state::Time m_prefillBusyUntil{};
     state::TargetCapacity m_capacity;
     double m_prefillRate;
     double m_decodeRate;
     double m_serviceSeconds;
+
     int m_speedSamples = 0;
-    int m_streams = 0;
-    state::Time m_prefillBusyUntil{};
     std::deque<HistoryEntry> m_history;
     bool m_historyTruncated = false;
     state::Time m_reportMeasuredAt{};
-    state::Time m_reportReceivedAt{};
-    int m_otherStreams = 0;
     PrefixCache m_prefixes;
-    Health m_health = Health::Normal;
-    bool m_probeOutstanding = false;
     state::Time m_ejectedAt{};
     int m_consecutiveFailures = 0;
     double m_errorRate = 0;
--- a/src/coordination/targetset.cpp
+++ b/src/coordination/targetset.cpp
@@ -17,9 +17,9 @@
     return sourceRegion == region ? placement::Distance::SameRegion : placement::Distance::OtherRegion;
 }
 
-std::string stateName(const ArbiterTarget &target, const TargetModel &model)
+std::string stateName(TargetListing listing, const TargetModel &model)
 {
-    switch (target.listing) {
+    switch (listing) {
     case TargetListing::Leaving:
         return "leaving";
     case TargetListing::Unlisted:
@@ -45,7 +45,7 @@
 void TargetSet::set(std::span<const ArbiterTarget> targets, state::Time now)
 {
     for (Entry &entry : m_entries) {
-        entry.target.listing = TargetListing::Unlisted;
+        entry.listing = TargetListing::Unlisted;
     }
     for (const ArbiterTarget &target : targets) {
         const auto known = m_index.find(target.id);
@@ -63,14 +63,15 @@
         // The configuration is checked before it is applied, so a target without capacity is never declared.
         if (model) {
             m_index[target.id] = m_entries.size();
-            m_entries.push_back({ .target = target,
-                                  .version = target.version,
+            m_entries.push_back({ .model = std::move(model),
+                                  .listing = target.listing,
                                   .place = placeOf(target.failureDomain),
-                                  .model = std::move(model) });
+                                  .version = target.version,
+                                  .target = target });
         }
     }
     std::erase_if(m_entries, [](const Entry &entry) {
-        return entry.target.listing == TargetListing::Unlisted && entry.model->grantedStreams() == 0;
+        return entry.listing == TargetListing::Unlisted && entry.model->grantedStreams() == 0;
     });
     m_index.clear();
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
@@ -87,6 +88,7 @@
         entry.model->clearCache();
     }
     entry.target = target;
+    entry.listing = target.listing;
     entry.place = placeOf(target.failureDomain);
     entry.model->setCapacity(target.capacity);
 }
@@ -282,14 +284,20 @@
     }
 }
 
-void TargetSet::ejectFailing(state::Time now)
+void TargetSet::ejectIfFailing(const state::TargetId &target, state::Time now)
 {
-    for (Entry &entry : m_entries) {
-        if (isLive(entry) && entry.model->health() == TargetModel::Health::Normal && entry.model->isFailing()
-            && mayEject()) {
-            entry.model->eject(now);
-            ++m_ejected;
-        }
+    const auto position = m_index.find(target);
+    if (position != m_index.end()) {
+        ejectIfFailing(m_entries[position->second], now);
+    }
+}
+
+void TargetSet::ejectIfFailing(Entry &entry, state::Time now)
+{
+    const bool failing = entry.model->health() == TargetModel::Health::Normal && entry.model->isFailing();
+    if (failing && isLive(entry) && mayEject()) {
+        entry.model->eject(now);
+        ++m_ejected;
     }
 }
 
@@ -322,7 +330,9 @@
         entry.model->tick(now);
     }
     refresh();
-    ejectFailing(now);
+    for (Entry &entry : m_entries) {
+        ejectIfFailing(entry, now);
+    }
     if (now - m_lastSlowCheck >= SlowCheckInterval) {
         m_lastSlowCheck = now;
         ejectSlow(now);
@@ -343,7 +353,7 @@
     for (const Entry &entry : m_entries) {
         result.push_back({ .id = entry.target.id,
                            .version = entry.version,
-                           .state = stateName(entry.target, *entry.model),
+                           .state = stateName(entry.listing, *entry.model),
                            .streams = entry.model->grantedStreams(),
                            .prefillTokens = entry.model->outstandingPrefillTokens(now),
                            .prefillTokensPerSecond = entry.model->prefillTokensPerSecond(),
@@ -354,7 +364,7 @@
 
 bool TargetSet::isLive(const Entry &entry)
 {
-    return entry.target.listing == TargetListing::Live;
+    return entry.listing == TargetListing::Live;
 }
 
 bool TargetSet::isExcluded(const Entry &entry, const SlotAsk &ask) const
--- a/src/coordination/targetset.h
+++ b/src/coordination/targetset.h
@@ -94,8 +94,8 @@
     void loadReported(const LoadReported &report, state::Time now);
     void cacheChanged(const CacheChanged &change);
 
-    /** Ejects failing targets as far as the limit allows. */
-    void ejectFailing(state::Time now);
+    /** Ejects a target if it is failing and the limit allows it. */
+    void ejectIfFailing(const state::TargetId &target, state::Time now);
 
     /** Starts probes, ejects outliers and refreshes averages. */
     void tick(state::Time now);
@@ -114,10 +114,11 @@
 
     struct Entry
     {
-        ArbiterTarget target;
-        state::VersionName version; /**< of the last load report, otherwise as declared */
-        Place place;
         std::unique_ptr<TargetModel> model;
+        TargetListing listing = TargetListing::Live;
+        Place place;
+        state::VersionName version; /**< of the last load report, otherwise as declared */
+        ArbiterTarget target;
     };
 
     /** Precedence of a target over others that have room. */
@@ -139,6 +140,7 @@
                                    double outputTokens,
                                    state::Time now) const;
     void update(Entry &entry, const ArbiterTarget &target);
+    void ejectIfFailing(Entry &entry, state::Time now);
     void ejectSlow(state::Time now);
     bool mayEject() const;
     void limitEjected();
--- a/src/coordination/tiergate.cpp
+++ b/src/coordination/tiergate.cpp
@@ -36,6 +36,7 @@
         listed[peer] = known == m_peers.end() ? Peer{ .lastHeard = now, .lastAcknowledgement = now } : known->second;
     }
     m_peers = std::move(listed);
+    m_nextQuiet = {};
 }
 
 void TierGate::heartbeatSent(std::uint64_t sequence, state::Time now)
@@ -140,10 +141,21 @@
 
 bool TierGate::isAnyPeerQuiet(state::Time now) const
 {
-    return std::ranges::any_of(m_peers, [&](const auto &peer) {
-        const state::Duration silence = now - peer.second.lastHeard;
-        return silence >= QuietAfter && silence < QuietUntil;
-    });
+    if (now < m_nextQuiet) {
+        return false;
+    }
+    state::Time next = now + QuietAfter;
+    for (const auto &[id, peer] : m_peers) {
+        const state::Duration silence = now - peer.lastHeard;
+        if (silence >= QuietAfter && silence < QuietUntil) {
+            return true;
+        }
+        if (silence < QuietAfter) {
+            next = std::min(next, peer.lastHeard + QuietAfter);
+        }
+    }
+    m_nextQuiet = next;
+    return false;
 }
 
 } // namespace sapphirecove::coordination
--- a/src/coordination/tiergate.h
+++ b/src/coordination/tiergate.h
@@ -99,6 +99,9 @@
     std::map<state::PoolId, std::map<state::Tier, OwnFloor>> m_own;
     std::map<state::PoolId, std::map<state::Tier, state::Time>> m_received; // time at which the floor expires
     std::uint64_t m_floorSequence = 0;
+    // No peer becomes quiet before this time. Every selection asks for it, and a loop over 350 peers takes longer than
+    // the selection itself.
+    mutable state::Time m_nextQuiet{};
 };
 
 } // namespace sapphirecove::coordination
