Close two gaps of the tier gate that a random test found

A peer that had not been heard for 5 s was not waited for, although it might come back at once; and the wait for a peer without answers counted from the first raise of a floor, even if the floor had almost ended meanwhile and was extended without announcement. Ruled out: waiting for an answer of every listed peer, which a dead host would prevent for as long as the list lags. Change: peers without answers are passed one second after the first heartbeat that announced a floor which still covers the shed. Unit tests for both gates' rules are stated anew, the wait is now longer in each of them.

--- a/src/coordination/tiergate.cpp
+++ b/src/coordination/tiergate.cpp
@@ -46,7 +46,7 @@
             return floor.second.expires <= now;
         });
         for (auto &[tier, floor] : floors) {
-            floor.announcements.push_back({ .heartbeat = sequence, .expires = floor.expires });
+            floor.announcements.push_back({ .heartbeat = sequence, .sentAt = now, .expires = floor.expires });
             if (floor.announcements.size() > MaximumAnnouncements) {
                 floor.announcements.pop_front();
             }
@@ -97,7 +97,7 @@
 {
     OwnFloor &floor = m_own[pool][tier];
     if (floor.expires <= now) {
-        floor = OwnFloor{ .sequence = ++m_floorSequence, .raisedAt = now };
+        floor = OwnFloor{ .sequence = ++m_floorSequence };
     }
     floor.expires = now + FloorDuration;
     return isConfirmed(floor, now);
@@ -126,17 +126,19 @@
 
 bool TierGate::hasConfirmed(const Peer &peer, const OwnFloor &floor, state::Time now)
 {
-    if (now - peer.lastHeard >= QuietUntil) {
-        return true;
+    // The end that is announced never moves back, so this heartbeat and all later ones cover the shed.
+    const auto covering = std::ranges::find_if(floor.announcements, [&](const Announcement &announcement) {
+        return announcement.expires >= now + ConfirmedReserve;
+    });
+    if (covering == floor.announcements.end()) {
+        return false;
     }
-    // The wait starts at the raise: a peer whose answers are lost may have heard an earlier heartbeat just now, and
-    // stops granting lower tiers by itself only QuietAfter later.
-    if (now - std::max(peer.lastAcknowledgement, floor.raisedAt) >= AcknowledgeTimeout) {
+    if (peer.acknowledged >= covering->heartbeat) {
         return true;
     }
-    return std::ranges::any_of(floor.announcements, [&](const Announcement &announcement) {
-        return announcement.heartbeat == peer.acknowledged && announcement.expires >= now + ConfirmedReserve;
-    });
+    // A peer whose answers are lost has either heard one of these heartbeats, or it has heard none of them and stops
+    // granting lower tiers by itself after QuietAfter.
+    return now - std::max(peer.lastAcknowledgement, covering->sentAt) >= AcknowledgeTimeout;
 }
 
 bool TierGate::isAnyPeerQuiet(state::Time now) const
--- a/src/coordination/tiergate.h
+++ b/src/coordination/tiergate.h
@@ -32,8 +32,11 @@
     static constexpr state::Duration QuietAfter = std::chrono::milliseconds(600);
     /** Silence of a listed peer after which it no longer restricts grants. */
     static constexpr state::Duration QuietUntil = std::chrono::seconds(5);
-    /** Time for which a confirmed floor must still hold at a peer when a tier is shed. */
-    static constexpr state::Duration ConfirmedReserve = std::chrono::seconds(1);
+    /**
+     * Time for which a confirmed floor must still hold at a peer when a tier is shed. A peer that hears nothing more
+     * must become quiet before its floor ends, and a heartbeat may be on its way for up to 200 ms.
+     */
+    static constexpr state::Duration ConfirmedReserve = std::chrono::milliseconds(800);
     /** Floor that excludes no tier. */
     static constexpr state::Tier NoFloor = std::numeric_limits<state::Tier>::max();
 
@@ -57,8 +60,9 @@
 
     /**
      * Returns whether @p tier of the pool may be shed now.
-     * The first call raises the floor to @p tier; later calls keep it raised. The caller repeats the call until it is
-     * allowed. The lowest tier needs no floor, which the caller decides: this function treats every tier alike.
+     * The first call raises the floor to @p tier; later calls extend it. The caller repeats the call with every tick
+     * until it is allowed: peers that do not answer are passed only if the heartbeats of a whole second announced it.
+     * The lowest tier needs no floor, which the caller decides: this function treats every tier alike.
      */
     bool mayShed(const state::PoolId &pool, state::Tier tier, state::Time now);
 
@@ -77,13 +81,13 @@
     struct Announcement
     {
         std::uint64_t heartbeat = 0;
+        state::Time sentAt{};
         state::Time expires{};
     };
 
     struct OwnFloor
     {
         std::uint64_t sequence = 0;
-        state::Time raisedAt{};
         state::Time expires{};
         std::deque<Announcement> announcements;
     };
--- a/tests/coordination/testarbiter.cpp
+++ b/tests/coordination/testarbiter.cpp
@@ -119,6 +119,12 @@
     return nullptr;
 }
 
+SlotGrant grantOf(const Replies &replies)
+{
+    REQUIRE(grantIn(replies) != nullptr);
+    return *grantIn(replies);
+}
+
 std::optional<DenyReason> denialOf(const Replies &replies, const std::string &request)
 {
     for (const Reply &reply : replies) {
@@ -152,7 +158,7 @@
 TEST_CASE("a repeated ask gets the same grant", "[arbiter]")
 {
     Fixture fixture(2);
-    const SlotGrant first = *grantIn(fixture.ask(makeAsk("r")));
+    const SlotGrant first = grantOf(fixture.ask(makeAsk("r")));
     CHECK(first.validFor == milliseconds(1000));
     const Replies again = fixture.ask(makeAsk("r"), Start + milliseconds(300));
     REQUIRE(grantIn(again) != nullptr);
@@ -167,13 +173,13 @@
 TEST_CASE("a grant expires only if its dispatch was not reported", "[arbiter]")
 {
     Fixture fixture(1);
-    const SlotGrant grant = *grantIn(fixture.ask(makeAsk("r")));
+    const SlotGrant grant = grantOf(fixture.ask(makeAsk("r")));
     CHECK(fixture.ask(makeAsk("next")).empty());
 
     SECTION("not reported")
     {
         CHECK(fixture.tickUntil(Start, Start + milliseconds(1999)).empty());
-        CHECK(grantIn(fixture.tick(Start + milliseconds(2000)))->request == "next");
+        CHECK(grantOf(fixture.tick(Start + milliseconds(2000))).request == "next");
     }
     SECTION("reported")
     {
@@ -186,7 +192,7 @@
         fixture.arbiter->report("other", complete, Start + milliseconds(9200));
         CHECK(fixture.tick(Start + milliseconds(9300)).empty());
         fixture.arbiter->report("host", complete, Start + milliseconds(9300));
-        CHECK(grantIn(fixture.tick(Start + milliseconds(9400)))->request == "next");
+        CHECK(grantOf(fixture.tick(Start + milliseconds(9400))).request == "next");
     }
     SECTION("reported by a host that is lost")
     {
@@ -196,7 +202,7 @@
         fixture.replies.clear();
         fixture.arbiter->ask("other", makeAsk("later"), Start + milliseconds(200), fixture.replies);
         CHECK(fixture.tickUntil(Start, Start + milliseconds(1100)).empty());
-        CHECK(grantIn(fixture.tick(Start + milliseconds(1200)))->request == "later");
+        CHECK(grantOf(fixture.tick(Start + milliseconds(1200))).request == "later");
     }
 }
 
@@ -225,7 +231,7 @@
 TEST_CASE("an ask that cannot be served in time because of load is shed at once", "[arbiter]")
 {
     Fixture fixture(1);
-    const SlotGrant running = *grantIn(fixture.ask(makeAsk("running")));
+    const SlotGrant running = grantOf(fixture.ask(makeAsk("running")));
     for (int i = 0; i < 50; ++i) {
         CHECK(fixture.ask(makeAsk("w" + std::to_string(i), 2)).empty()); // 20 ms of work each
     }
@@ -262,7 +268,7 @@
     Fixture fixture(1, 1, 1);
     const std::array<state::HostId, 2> hosts{ "a", "b" };
     fixture.gate->setPeers(hosts, Start);
-    const SlotGrant running = *grantIn(fixture.ask(makeAsk("running")));
+    const SlotGrant running = grantOf(fixture.ask(makeAsk("running")));
     CHECK(fixture.ask(makeAsk("first", 1)).empty());
     CHECK(fixture.ask(makeAsk("second", 1)).empty());
     CHECK(fixture.gate->floors(Start).size() == 1);
@@ -272,7 +278,7 @@
     heartbeat.acknowledged = 1;
     fixture.gate->heartbeatReceived("b", heartbeat, Start + milliseconds(20));
     const Replies replies = fixture.tick(Start + milliseconds(30));
-    CHECK(replies.size() == 1);
+    REQUIRE(replies.size() == 1);
     CHECK(std::holds_alternative<SlotDeny>(replies[0].message));
 
     // Tier 2 stays below the floor although there is room for it.
@@ -314,6 +320,27 @@
     CHECK(granted);
 }
 
+// Guards against a lower tier that is served while a reservation keeps a higher tier from the only target it can use.
+TEST_CASE("a reservation holds up lower tiers with its own", "[arbiter]")
+{
+    Fixture fixture(2, 100);
+    for (int i = 0; i < 2; ++i) {
+        SlotAsk filling = makeAsk("filling" + std::to_string(i), 0);
+        filling.promptTokens = 900;
+        REQUIRE(grantIn(fixture.ask(filling)) != nullptr);
+    }
+    SlotAsk large = makeAsk("large", 1);
+    large.promptTokens = 2000;
+    CHECK(fixture.ask(large).empty()); // target0 is reserved for it
+    SlotAsk bound = makeAsk("bound", 1, "other");
+    bound.excluded = { "target1" };
+    CHECK(fixture.ask(bound).empty());
+    CHECK(fixture.ask(makeAsk("low", 2)).empty());
+    const Replies replies = fixture.tick(Start + milliseconds(100));
+    REQUIRE(replies.size() >= 1);
+    CHECK(grantOf(replies).request == "large");
+}
+
 // Guards against an arbiter that grants slots which its predecessor's requests still use.
 TEST_CASE("a new arbiter grants after all reports or half a second", "[arbiter]")
 {
@@ -331,13 +358,13 @@
         fixture.arbiter->report("other", { .group = "pool@region#0" }, Start + milliseconds(20));
         CHECK(fixture.tick(Start + milliseconds(40)).empty()); // the only stream is in use
         const Replies replies = fixture.release({ .request = "old", .grant = 7 }, GrantOutcome::Cancelled, Start);
-        CHECK(grantIn(replies)->request == "r");
+        CHECK(grantOf(replies).request == "r");
     }
     SECTION("one host does not report")
     {
         fixture.arbiter->report("host", { .group = "pool@region#0" }, Start);
         CHECK(fixture.tick(Start + milliseconds(499)).empty());
-        CHECK(grantIn(fixture.tick(Start + milliseconds(500)))->request == "r");
+        CHECK(grantOf(fixture.tick(Start + milliseconds(500))).request == "r");
     }
     SECTION("the request was dispatched with another arbiter's grant")
     {
@@ -353,14 +380,14 @@
 {
     Fixture fixture(1);
     fixture.tick(Start);
-    const SlotGrant before = *grantIn(fixture.ask(makeAsk("r")));
+    const SlotGrant before = grantOf(fixture.ask(makeAsk("r")));
     fixture.ask(makeAsk("waiting"));
     const state::Time resumed = Start + milliseconds(1001);
     CHECK(fixture.ask(makeAsk("new"), resumed).empty());
     CHECK(fixture.arbiter->summary(resumed).waiting == 1);
     CHECK(fixture.release(before, GrantOutcome::Complete, resumed).empty());
     CHECK(fixture.tick(resumed + milliseconds(499)).empty());
-    CHECK(grantIn(fixture.tick(resumed + milliseconds(500)))->request == "new");
+    CHECK(grantOf(fixture.tick(resumed + milliseconds(500))).request == "new");
 }
 
 // Guards against a bad version that gets more than its share, and a good one that never reaches it.
@@ -376,7 +403,7 @@
         int count = 0;
         for (int i = 0; i < 500; ++i) {
             const SlotAsk ask = makeAsk("r" + std::to_string(number++));
-            const SlotGrant grant = *grantIn(fixture.ask(ask));
+            const SlotGrant grant = grantOf(fixture.ask(ask));
             count += grant.version == "v2" ? 1 : 0;
             fixture.release(grant, GrantOutcome::Cancelled);
         }
--- a/tests/coordination/testtiergate.cpp
+++ b/tests/coordination/testtiergate.cpp
@@ -73,18 +73,26 @@
     CHECK(gate.mayShed(Pool, 1, Start + milliseconds(180)));
 }
 
-// Guards against a dead host that stops the shedding of the fleet, and against a shed within its last half second.
-TEST_CASE("a silent peer delays a shed for one second", "[tiergate]")
+// Guards against a dead host that stops the shedding of the fleet, and against a shed that a peer without answers did
+// not have a whole second to learn of.
+TEST_CASE("a peer without answers delays a shed for one second from the first announcement", "[tiergate]")
 {
     const Fixture fixture;
     TierGate &gate = *fixture.gate;
-    CHECK_FALSE(gate.mayShed(Pool, 1, Start + milliseconds(200)));
-    gate.heartbeatSent(11, Start + milliseconds(300));
-    fixture.acknowledge("b", 11, Start + milliseconds(400));
-    CHECK_FALSE(gate.mayShed(Pool, 1, Start + milliseconds(1100)));
-    gate.heartbeatSent(12, Start + milliseconds(1150));
-    fixture.acknowledge("b", 12, Start + milliseconds(1190));
-    CHECK(gate.mayShed(Pool, 1, Start + milliseconds(1200)));
+    std::uint64_t sequence = 10;
+    for (int time = 0; time < 5000; time += 200) { // host c answers for the last time at the start
+        gate.heartbeatSent(++sequence, Start + milliseconds(time));
+        fixture.acknowledge("b", sequence, Start + milliseconds(time));
+    }
+    for (int time = 5000; time < 6020; time += 20) {
+        const state::Time now = Start + milliseconds(time);
+        CHECK_FALSE(gate.mayShed(Pool, 1, now));
+        if (time % 200 == 20) {
+            gate.heartbeatSent(++sequence, now);
+            fixture.acknowledge("b", sequence, now);
+        }
+    }
+    CHECK(gate.mayShed(Pool, 1, Start + milliseconds(6020)));
 }
 
 // Guards against a shed under a floor that is about to expire at the peers.
@@ -93,29 +101,19 @@
     const Fixture fixture;
     TierGate &gate = *fixture.gate;
     gate.mayShed(Pool, 1, Start);
-    gate.heartbeatSent(11, Start + milliseconds(100));
+    gate.heartbeatSent(11, Start + milliseconds(100)); // announces that the floor holds until 2,000 ms
     fixture.acknowledge("b", 11, Start + milliseconds(150));
     fixture.acknowledge("c", 11, Start + milliseconds(150));
-    CHECK(gate.mayShed(Pool, 1, Start + milliseconds(200)));
-
-    // The floor was extended at 200 ms, but the peers only know that it holds until 2,000 ms.
-    fixture.acknowledge("b", 11, Start + milliseconds(1100));
-    fixture.acknowledge("c", 11, Start + milliseconds(1100));
-    gate.heartbeatSent(12, Start + milliseconds(1120));
-    fixture.acknowledge("b", 11, Start + milliseconds(1130));
-    fixture.acknowledge("c", 12, Start + milliseconds(1130));
-    fixture.acknowledge("b", 12, Start + milliseconds(1140));
-    CHECK(gate.mayShed(Pool, 1, Start + milliseconds(1150)));
-
-    const Fixture other;
-    other.gate->mayShed(Pool, 1, Start);
-    other.gate->heartbeatSent(11, Start + milliseconds(900));
-    other.acknowledge("b", 11, Start + milliseconds(950));
-    other.acknowledge("c", 11, Start + milliseconds(950));
-    CHECK(other.gate->mayShed(Pool, 1, Start + milliseconds(960)));
-    other.gate->heartbeatSent(12, Start + milliseconds(1100));
-    other.acknowledge("b", 12, Start + milliseconds(1150));
-    CHECK_FALSE(other.gate->mayShed(Pool, 1, Start + milliseconds(1200)));
+    CHECK(gate.mayShed(Pool, 1, Start + milliseconds(1200)));
+    fixture.acknowledge("b", 11, Start + milliseconds(1250));
+    fixture.acknowledge("c", 11, Start + milliseconds(1250));
+    CHECK_FALSE(gate.mayShed(Pool, 1, Start + milliseconds(1300)));
+
+    gate.heartbeatSent(12, Start + milliseconds(1300));
+    fixture.acknowledge("b", 12, Start + milliseconds(1350));
+    CHECK_FALSE(gate.mayShed(Pool, 1, Start + milliseconds(1360)));
+    fixture.acknowledge("c", 12, Start + milliseconds(1370));
+    CHECK(gate.mayShed(Pool, 1, Start + milliseconds(1380)));
 }
 
 // Guards against lower tiers that are granted under a peer's floor, or for ever refused after it.
