Bound the memory that parsing a body takes

Cause: a body of the permitted 8 MiB with an array of one-digit numbers takes 24 to 30 times its size when parsed, which is most of a host's 256 MB. Change: parseJson uses a memory resource limited to ten times the text and 64 KiB. Vectors are no longer reserved by the number of unread elements, whose structs are larger still. Ruled out: a streaming reader of chat requests; it would bound memory more tightly, but it repeats the reader's rules as a state machine.

--- /dev/null
+++ b/src/protocol/boundedresource.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <boost/json/memory_resource.hpp>
+
+#include <cstddef>
+
+namespace sapphirecove::protocol {
+
+/** Memory for parsing one text; throws std::bad_alloc when more than its limit is in use. */
+class BoundedResource final : public boost::json::memory_resource
+{
+public:
+    explicit BoundedResource(std::size_t limit)
+        : m_limit(limit)
+    {
+    }
+
+private:
+    void *do_allocate(std::size_t bytes, std::size_t alignment) override;
+    void do_deallocate(void *memory, std::size_t bytes, std::size_t alignment) override;
+    bool do_is_equal(const boost::json::memory_resource &other) const noexcept override;
+
+    std::size_t m_limit;
+    std::size_t m_used = 0;
+};
+
+} // namespace sapphirecove::protocol
--- a/src/protocol/eventstreamparser.cpp
+++ b/src/protocol/eventstreamparser.cpp
@@ -87,9 +87,8 @@
     m_ended = m_ended || event.endMarker;
     // Most chunks carry no usage; searching for the name first avoids parsing every token's JSON.
     if (event.data.find("\"usage\"") != std::string::npos) {
-        json::error_code error;
-        const json::value document = json::parse(event.data, error);
-        const auto usage = error ? std::nullopt : usageOf(document);
+        const auto document = parseJson(event.data, "stream.parse", "");
+        const auto usage = document ? usageOf(*document) : std::nullopt;
         m_usage = usage ? usage : m_usage;
     }
     events.push_back(std::move(event));
--- a/src/protocol/fieldreader.h
+++ b/src/protocol/fieldreader.h
@@ -177,7 +177,6 @@
             return;
         }
         result.clear();
-        result.reserve(value.get_array().size());
         std::size_t index = 0;
         for (const json::value &element : value.get_array()) {
             context.enter(index++);
--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -1,17 +1,29 @@
 #include "protocol/json.h"
 
+#include "protocol/boundedresource.h"
+
+#include <new>
+
 namespace sapphirecove::protocol {
 
 state::Result<json::value> parseJson(std::string_view text, std::string_view step, std::string_view peer)
 {
     json::parse_options options;
     options.max_depth = MaxJsonDepth;
-    json::error_code error;
-    json::value value = json::parse(json::string_view(text.data(), text.size()), error, {}, options);
-    if (error) {
-        return state::fail(step, peer, "malformed JSON: " + error.message());
+    const std::size_t limit = text.size() * ParseMemoryPerByte + ParseMemoryBase;
+    const json::storage_ptr memory = json::make_shared_resource<BoundedResource>(limit);
+    try {
+        json::parser parser(memory, options);
+        parser.reset(memory);
+        json::error_code error;
+        parser.write(text.data(), text.size(), error);
+        if (error) {
+            return state::fail(step, peer, "malformed JSON: " + error.message());
+        }
+        return parser.release();
+    } catch (const std::bad_alloc &) {
+        return state::fail(step, peer, "JSON that takes more than " + std::to_string(limit) + " bytes of memory");
     }
-    return value;
 }
 
 void appendPointer(std::string &pointer, std::string_view token)
--- a/src/protocol/json.h
+++ b/src/protocol/json.h
@@ -14,8 +14,18 @@
 constexpr std::size_t MaxJsonDepth = 32;
 
 /**
- * Parses @p text as one JSON value. Fails with @p step and @p peer if it is malformed, not valid UTF-8 or nested
- * deeper than MaxJsonDepth. Time and memory are linear in the length of @p text, which the caller must bound.
+ * Memory that parsing may take for each byte of text, in addition to ParseMemoryBase. An array of one-digit numbers
+ * takes 24 to 30 bytes for each byte of text, so that a few bodies of the permitted size would exhaust a host;
+ * messages of a single letter take 5 to 8, long texts 1.
+ */
+constexpr std::size_t ParseMemoryPerByte = 10;
+
+/** Memory in bytes that parsing may take for a text of any length. */
+constexpr std::size_t ParseMemoryBase = 65536;
+
+/**
+ * Parses @p text as one JSON value. Fails with @p step and @p peer if it is malformed, not valid UTF-8, nested deeper
+ * than MaxJsonDepth or takes too much memory. Time is linear in the length of @p text, which the caller must bound.
  */
 state::Result<json::value> parseJson(std::string_view text, std::string_view step, std::string_view peer);
 
--- a/src/protocol/messagecodec.cpp
+++ b/src/protocol/messagecodec.cpp
@@ -10,7 +10,6 @@
 
 void readMessages(ReadContext &context, const json::array &array, std::vector<coordination::Message> &messages)
 {
-    messages.reserve(array.size());
     std::size_t index = 0;
     for (const json::value &element : array) {
         context.enter(index++);
--- a/tests/protocol/testchatrequest.cpp
+++ b/tests/protocol/testchatrequest.cpp
@@ -114,6 +114,23 @@
     CHECK_FALSE(detail("{\"usage\"").empty());
 }
 
+// Guards against a body of the permitted size whose parsed form takes most of a host's memory, and against a bound that
+// refuses real bodies.
+TEST_CASE("parsing takes memory in proportion to the body", "[chatrequest]")
+{
+    const auto body = [](const std::string &message, std::size_t count) {
+        std::string text = R"({"model":"m","messages":[)" + message;
+        for (std::size_t i = 1; i < count; ++i) {
+            text += ',' + message;
+        }
+        return text + "]}";
+    };
+    CHECK_THAT(detailOf(body("0", 500'000)), Catch::StartsWith("JSON that takes more than "));
+    CHECK(detailOf(body(R"({"role":"user","content":"a"})", 50'000)).empty());
+    CHECK(detailOf(body(R"({"content":")" + std::string(4 << 20, 'a') + "\"}", 1)).empty());
+    CHECK(detailOf(body(R"({"content":[{"type":"text","text":"a"}]})", 50'000)).empty());
+}
+
 // Guards against callers' input that crashes a host.
 TEST_CASE("mutated chat requests never crash the reader", "[chatrequest]")
 {
