--- a/standins/logservice.cpp
+++ b/standins/logservice.cpp
@@ -23,7 +23,7 @@
 
 LogService::LogService(boost::asio::io_context &context, std::uint16_t port, LogOptions options)
     : m_context(context)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_waiterTimer(context)
     , m_server(context, port, [this](const Connection &connection) {
         handle(connection);
@@ -101,6 +101,12 @@
     for (const auto &value : records->get_array()) {
         stream.records.push_back({ wallClockMs(), value });
     }
+    if (m_options.outageAtAppendTo == name) {
+        m_options.outageAtAppendTo.clear();
+        m_options.outage = true;
+        connection->abort();
+        return;
+    }
     serveWaiters();
     if (m_options.loseAnswers > 0) {
         --m_options.loseAnswers;
