--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -72,8 +72,8 @@
 JSON
 start list $bin/sapphirecove-standins hosts --port 0 --file "$out/hosts.json"
 list=$(port_of list)
-echo bench-operators >"$out/operators.key"
-echo bench-fleet >"$out/fleet.key"
+echo key-of-the-bench-operators >"$out/operators.key"
+echo key-of-the-bench-fleet >"$out/fleet.key"
 cat >"$out/settings.json" <<JSON
 {"host": {"id": "bench-1", "region": "accra", "failure_domain": "accra-osu"},
  "listen": {"callers": "127.0.0.1:$callers", "operators": "127.0.0.1:$operators", "peers": "127.0.0.1:$peers"},
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -3,6 +3,7 @@
 #include "tests/integration/chatcall.h"
 #include "tests/integration/standin.h"
 
+#include <atomic>
 #include <memory>
 
 namespace sapphirecove::integration {
@@ -78,10 +79,15 @@
     {
         return *m_services;
     }
-    Standin &log()
+    Standin &log() const
     {
         return *m_log;
     }
+    /** Path of the folder with the valid configuration. */
+    std::string configFolder() const
+    {
+        return (m_folder / "config").string();
+    }
     /** Last lines of what each host wrote, for the message of a failed check. */
     std::string hostErrors() const;
 
@@ -98,7 +104,7 @@
     std::unique_ptr<Standin> m_log;
     std::unique_ptr<Standin> m_list;
     std::vector<std::unique_ptr<Process>> m_hosts;
-    int m_commands = 0;
+    std::atomic<int> m_commands = 0;
 };
 
 } // namespace sapphirecove::integration
