--- a/tests/integration/testpublish.cpp
+++ b/tests/integration/testpublish.cpp
@@ -59,6 +59,7 @@
     std::multiset<int> exitCodes;
     std::vector<CommandResult> results(4);
     std::vector<std::thread> operators;
+    operators.reserve(results.size());
     for (auto &result : results) {
         operators.emplace_back([&] {
             result = fleet.run(arguments);
