--- a/src/cli/register.cpp
+++ b/src/cli/register.cpp
@@ -13,6 +13,7 @@
     commands.push_back(createVersionsStatus());
     commands.push_back(createAudit());
     commands.push_back(createMetrics());
+    commands.push_back(createPassthrough());
     return commands;
 }
 
--- a/src/cli/register.h
+++ b/src/cli/register.h
@@ -23,6 +23,7 @@
 std::unique_ptr<Command> createVersionsStatus();
 std::unique_ptr<Command> createAudit();
 std::unique_ptr<Command> createMetrics();
+std::unique_ptr<Command> createPassthrough();
 
 /** Returns the command group @p name below @p root, for example "config"; creates it if it does not exist. */
 CLI::App &commandGroup(CLI::App &root, const std::string &name, const std::string &description);
