--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr const char *LineFormat = "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{GMT} level=%p %m%n";
+constexpr const char *LineFormat = "time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ}{GMT} level=%p %m%n";
 constexpr std::array<std::string_view, 5> Levels{ "trace", "debug", "info", "warn", "error" };
 
 const log4cxx::LoggerPtr &logger()
