Rename the version shares of an arbiter to version credits

Cause: the version controller declares a struct VersionShares in the same namespace. Both have implicit inline members, so a program that links both has undefined behaviour although it compiles. Ruled out: an inner namespace for the arbiter's parts, which would move all their names. Change: class VersionCredits. The gate keeps more announcements of a floor, since a heartbeat also follows each new floor at once.

--- a/src/coordination/targetset.h
+++ b/src/coordination/targetset.h
@@ -5,7 +5,7 @@
 #include "coordination/placement/candidate.h"
 #include "coordination/statusreport.h"
 #include "coordination/targetmodel.h"
-#include "coordination/versionshares.h"
+#include "coordination/versioncredits.h"
 
 #include <memory>
 #include <optional>
@@ -150,7 +150,7 @@
     std::unordered_map<std::string, Place> m_places;
     std::vector<Entry> m_entries;
     std::unordered_map<state::TargetId, std::size_t> m_index;
-    VersionShares m_shares;
+    VersionCredits m_shares;
     state::Time m_lastSlowCheck{};
     // Refreshed on every tick and change of the targets.
     int m_totalStreams = 0;
--- a/src/coordination/tiergate.cpp
+++ b/src/coordination/tiergate.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/** Announcements kept of one floor; at 200 ms between heartbeats they reach back over three seconds. */
-constexpr std::size_t MaximumAnnouncements = 16;
+/** Announcements kept of one floor; heartbeats that follow each new floor at once must not push out the last second. */
+constexpr std::size_t MaximumAnnouncements = 64;
 
 } // namespace
 
--- a/src/coordination/versionshares.cpp
+++ b/src/coordination/versioncredits.cpp
@@ -1,4 +1,4 @@
-#include "coordination/versionshares.h"
+#include "coordination/versioncredits.h"
 
 #include <algorithm>
 
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void VersionShares::setWeights(std::span<const VersionWeight> weights)
+void VersionCredits::setWeights(std::span<const VersionWeight> weights)
 {
     std::map<state::VersionName, Limit> limits;
     for (const VersionWeight &weight : weights) {
@@ -32,29 +32,29 @@
     m_limits = std::move(limits);
 }
 
-bool VersionShares::isUnlimited(const state::VersionName &version) const
+bool VersionCredits::isUnlimited(const state::VersionName &version) const
 {
     return !m_limits.contains(version);
 }
 
-bool VersionShares::mayGrant(const state::VersionName &version) const
+bool VersionCredits::mayGrant(const state::VersionName &version) const
 {
     return isUnlimited(version) || isDue(version);
 }
 
-bool VersionShares::canEarn(const state::VersionName &version) const
+bool VersionCredits::canEarn(const state::VersionName &version) const
 {
     const auto limit = m_limits.find(version);
     return limit == m_limits.end() || limit->second.share > 0;
 }
 
-bool VersionShares::isDue(const state::VersionName &version) const
+bool VersionCredits::isDue(const state::VersionName &version) const
 {
     const auto limit = m_limits.find(version);
     return limit != m_limits.end() && limit->second.credit >= 1 - Tolerance;
 }
 
-void VersionShares::granted(const state::VersionName &version)
+void VersionCredits::granted(const state::VersionName &version)
 {
     for (auto &[name, limit] : m_limits) {
         limit.credit = std::min(MaximumCredit, limit.credit + limit.share);
--- a/src/coordination/versionshares.h
+++ b/src/coordination/versioncredits.h
@@ -14,7 +14,7 @@
  * Each grant of the group earns a limited version its share as credit, and a grant to the version costs one. A version
  * therefore never gets more than its share, apart from the credit that it may save.
  */
-class VersionShares
+class VersionCredits
 {
 public:
     /** Replaces the limits; the credit of versions that stay limited is kept. */
