--- a/tests/coordination/schedule.cpp
+++ b/tests/coordination/schedule.cpp
@@ -181,7 +181,7 @@
     if (m_targets.size() > 1 && chance(0.1)) {
         request.ask.excluded.push_back(m_targets.back().id);
     }
-    request.service = milliseconds(pick(20, 400));
+    request.service = milliseconds(chance(0.05) ? pick(2000, 5000) : pick(20, 400)); // the long ones outlive a grant
     request.next = m_now;
     host.requests[name] = request;
 }
