Let a new configuration change the limits of an arbiter

Cause: an arbiter kept the lowest tier and the queue length of the configuration in force at its creation. After a lower tier had been added, it would have shed the former lowest tier without a floor. Ruled out: creating the arbiter anew, which loses the queue and the models. Change: Arbiter::setLimits(), called when a configuration is applied.

--- a/src/coordination/arbiter.h
+++ b/src/coordination/arbiter.h
@@ -39,6 +39,9 @@
     /** Replaces the targets of the group; learned speeds and outstanding work of kept targets stay. */
     virtual void setTargets(std::span<const ArbiterTarget> targets, state::Time now) = 0;
 
+    /** Replaces the lowest tier of the configuration, which is shed without a floor, and the length of the queue. */
+    virtual void setLimits(state::Tier lowestTier, std::size_t queueLength) = 0;
+
     /** Replaces the fair shares of the customers. */
     virtual void setCustomers(std::span<const CustomerWeight> weights) = 0;
 
--- a/src/coordination/arbiterset.cpp
+++ b/src/coordination/arbiterset.cpp
@@ -42,6 +42,8 @@
     std::erase_if(m_arbiters, isGone);
     std::erase_if(m_weights, isGone);
     for (auto &[group, arbiter] : m_arbiters) {
+        const ArbiterOptions options = makeOptions(*groups.find(group));
+        arbiter->setLimits(options.lowestTier, options.queueLength);
         arbiter->setCustomers(customerWeights());
     }
 }
--- a/src/coordination/grouparbiter.cpp
+++ b/src/coordination/grouparbiter.cpp
@@ -34,6 +34,12 @@
     m_isFull = false;
 }
 
+void GroupArbiter::setLimits(state::Tier lowestTier, std::size_t queueLength)
+{
+    m_options.lowestTier = lowestTier;
+    m_options.queueLength = queueLength;
+}
+
 void GroupArbiter::setCustomers(std::span<const CustomerWeight> weights)
 {
     m_queue.setWeights(weights);
@@ -48,7 +54,8 @@
 {
     detectPause(now);
     m_hosts.insert(from);
-    if (isRepeated(from, ask, now, replies)) {
+    const bool isWaiting = m_queue.find(ask.request) != nullptr || m_shedList.contains(ask.request);
+    if (isWaiting || answerGranted(from, ask, now, replies)) {
         return;
     }
     if (const std::optional<SlotDeny> denial = refusal(ask, now)) {
@@ -60,12 +67,6 @@
     schedule(now, replies);
 }
 
-bool GroupArbiter::isRepeated(const state::HostId &from, const SlotAsk &ask, state::Time now, Replies &replies)
-{
-    return answerGranted(from, ask, now, replies) || m_queue.find(ask.request) != nullptr
-        || m_shedList.contains(ask.request);
-}
-
 bool GroupArbiter::answerGranted(const state::HostId &from, const SlotAsk &ask, state::Time now, Replies &replies)
 {
     const GrantRecord *record = m_grants.findRequest(ask.request);
--- a/src/coordination/grouparbiter.h
+++ b/src/coordination/grouparbiter.h
@@ -24,6 +24,7 @@
                  std::unique_ptr<placement::Placement> placement);
 
     void setTargets(std::span<const ArbiterTarget> targets, state::Time now) override;
+    void setLimits(state::Tier lowestTier, std::size_t queueLength) override;
     void setCustomers(std::span<const CustomerWeight> weights) override;
     void setVersionWeights(std::span<const VersionWeight> weights) override;
     void ask(const state::HostId &from, const SlotAsk &ask, state::Time now, Replies &replies) override;
@@ -61,7 +62,6 @@
 
     void detectPause(state::Time now);
     bool isRebuilding(state::Time now) const;
-    bool isRepeated(const state::HostId &from, const SlotAsk &ask, state::Time now, Replies &replies);
     bool answerGranted(const state::HostId &from, const SlotAsk &ask, state::Time now, Replies &replies);
     std::optional<SlotDeny> refusal(const SlotAsk &ask, state::Time now) const;
     bool isTooLate(const SlotAsk &ask, state::Time start) const;
--- a/tests/coordination/testarbiter.cpp
+++ b/tests/coordination/testarbiter.cpp
@@ -1,6 +1,7 @@
 #include "coordination/arbiter.h"
 #include "coordination/placement/register.h"
 #include "tests/coordination/asks.h"
+#include "tests/coordination/gates.h"
 
 #include <catch2/catch.hpp>
 
@@ -14,17 +15,6 @@
 
 namespace {
 
-std::unique_ptr<TierGate> makeGate()
-{
-    return state::handleFailure(
-        [] {
-            return TierGate::create("a");
-        },
-        [](const state::Failure &) {
-            return std::unique_ptr<TierGate>();
-        });
-}
-
 std::unique_ptr<Arbiter> makeArbiter(const ArbiterOptions &options)
 {
     return state::handleFailure(
@@ -40,7 +30,7 @@
 /** Arbiter of a group with a number of equal targets: 100 prefill and 10 decode tokens take 20 ms. */
 struct Fixture
 {
-    std::unique_ptr<TierGate> gate = makeGate();
+    std::unique_ptr<TierGate> gate = testing::makeGate("a");
     ArbiterOptions options;
     std::vector<ArbiterTarget> targets;
     std::unique_ptr<Arbiter> arbiter;
@@ -262,6 +252,21 @@
     CHECK(denialOf(fixture.ask(makeAsk("lower", 2)), "lower") == DenyReason::Overloaded);
 }
 
+// Guards against a tier that is shed without a floor after the configuration gained a lower one.
+TEST_CASE("a new configuration changes which tier is shed without a floor", "[arbiter]")
+{
+    Fixture fixture(1, 1, 5);
+    const std::array<state::HostId, 2> hosts{ "a", "b" };
+    fixture.gate->setPeers(hosts, Start);
+    fixture.ask(makeAsk("running"));
+    fixture.arbiter->setLimits(3, 1);
+    CHECK(fixture.ask(makeAsk("first", 2)).empty());
+    CHECK(fixture.ask(makeAsk("second", 2)).empty());
+    CHECK(fixture.gate->floors(Start).size() == 1);
+    fixture.arbiter->setLimits(2, 1);
+    CHECK(fixture.tick(Start).size() == 1);
+}
+
 // Guards against shedding a tier that other hosts may still undercut, and against grants below the floor.
 TEST_CASE("a shed above the lowest tier waits for the gate", "[arbiter]")
 {
--- a/tests/coordination/testtiergate.cpp
+++ b/tests/coordination/testtiergate.cpp
@@ -1,5 +1,6 @@
 #include "coordination/tiergate.h"
 #include "tests/coordination/asks.h"
+#include "tests/coordination/gates.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,6 +8,7 @@
 
 using namespace sapphirecove;
 using namespace sapphirecove::coordination;
+using testing::makeGate;
 using testing::milliseconds;
 using testing::Start;
 
@@ -14,17 +16,6 @@
 
 const std::string Pool = "pool";
 
-std::unique_ptr<TierGate> makeGate(const state::HostId &self)
-{
-    return state::handleFailure(
-        [&] {
-            return TierGate::create(self);
-        },
-        [](const state::Failure &) {
-            return std::unique_ptr<TierGate>();
-        });
-}
-
 Heartbeat acknowledging(std::uint64_t sequence)
 {
     Heartbeat heartbeat;
