Read each log stream to its end without long polls at the start

A host rejected calls with an Idempotency-Key with claims_unavailable for up to one second after it became ready. The first read of the claims stream was a long poll, which an empty stream answers only after its whole wait, so the claim table did not know that it had caught up. Waiting in the tests was ruled out, because callers would see the same.

Reads now ask for an answer at once until the end of the stream was reached for the first time.

--- a/src/transport/platform/logreader.cpp
+++ b/src/transport/platform/logreader.cpp
@@ -68,7 +68,8 @@
 asio::awaitable<bool> LogReader::readOnce()
 {
     HttpCall call;
-    call.path = protocol::readPath(m_stream, m_next, PageSize, LongPoll);
+    // Until the end was reached once, an answer at once is what the host waits for: keyed calls are rejected before.
+    call.path = protocol::readPath(m_stream, m_next, PageSize, m_reachedEnd ? LongPoll : state::Duration(0));
     const auto outcome = co_await m_client.send(std::move(call), LongPoll + ReadMargin);
     const auto peer = toString(m_client.endpoint());
     state::Failure failure{ "log.read", peer, "status " + std::to_string(outcome.status) };
@@ -103,6 +104,7 @@
     });
     event.records = std::move(page.records);
     m_next = page.next;
+    m_reachedEnd = m_reachedEnd || event.atEnd;
     m_events.send(std::move(event));
 }
 
--- a/src/transport/platform/logreader.h
+++ b/src/transport/platform/logreader.h
@@ -33,6 +33,7 @@
     Backoff m_backoff;
     state::Offset m_next = 0;
     bool m_reachable = true;
+    bool m_reachedEnd = false; // at least once
 };
 
 } // namespace sapphirecove::transport
