Keep a late cancellation from cutting off a final answer

A cancellation that was decided before the end of a dispatch became known could arrive while the problem document for that end was being written, and closed the caller's connection in the middle of it. The exchange now stops listening to decisions as soon as its outcome is fixed. Ignoring the cancellation in the request table was ruled out, because the table does not know how far an exchange is. Found by reading the code; there is no test, since the order of the two events cannot be forced from outside.

--- a/src/transport/data/targetexchange.cpp
+++ b/src/transport/data/targetexchange.cpp
@@ -76,8 +76,8 @@
         Verdict verdict = co_await transfer();
         co_await conclude(std::move(verdict));
     }
-    m_connection.close();
     m_request.interrupt = nullptr;
+    m_connection.close();
     co_return started;
 }
 
@@ -280,6 +280,8 @@
 
 asio::awaitable<void> TargetExchange::conclude(Verdict verdict)
 {
+    // The outcome is fixed: a decision that was made before it became known must not cut the final answer off.
+    m_request.interrupt = nullptr;
     const bool failed = verdict.outcome == GrantOutcome::Cut || verdict.refusal.has_value();
     if (failed && m_request.stopRequested()) {
         verdict.outcome = GrantOutcome::Cancelled;
