Show only what matters in the demonstration

The first run against real hosts listed each event id and the absolute path of the configuration folder. Both are left out now; nothing else in the procedure changes.

--- a/scripts/demo/demo.py
+++ b/scripts/demo/demo.py
@@ -167,7 +167,7 @@
     def command(self, *arguments, index=0):
         command = [str(self.binaries / "sapphirecove"), *map(str, arguments), "--settings", str(self.settings(index))]
         result = subprocess.run(command, capture_output=True, text=True, timeout=60)
-        shown = " ".join(["sapphirecove", *map(str, arguments)]).replace(str(self.folder), "DIR")
+        shown = " ".join(["sapphirecove", *map(str, arguments)]).replace(str(self.examples), "examples")
         print(f"$ {shown}   (exit code {result.returncode})")
         print((result.stdout + result.stderr).rstrip())
         return result.returncode
@@ -205,7 +205,7 @@
                 result["content"] += choice.get("delta", {}).get("content", "")
             if "reason" in chunk:
                 result["other"] = f"{chunk['reason']}, executed: {chunk['executed']}"
-        elif line:
+        elif line and not line.startswith("id:"):
             result["other"] += line
 
     def call_service(self, index, key):
