Tell the caller of a cut stream that its outcome is unknown

Cause: the integration test of interrupted streams failed at its last check. Ruled out: a status code, since the header had been sent with the first event. Change: the stream ends with an event "error" that carries the problem document; the missing end marker and final chunk still show that the answer is incomplete.

--- a/src/transport/data/targetexchange.cpp
+++ b/src/transport/data/targetexchange.cpp
@@ -1,6 +1,7 @@
 #include "transport/data/targetexchange.h"
 
 #include "protocol/json.h"
+#include "protocol/problemdocument.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -46,6 +47,12 @@
     return Refusal{ reason, Executed::Unknown, std::nullopt, detail };
 }
 
+/** Returns the last event of a stream that ends early. */
+std::string errorEvent(const Refusal &refusal)
+{
+    return "event: error\ndata: " + protocol::encodeProblem(refusal) + "\n\n";
+}
+
 beast::string_view toBeast(std::string_view text)
 {
     return { text.data(), text.size() };
@@ -252,6 +259,7 @@
 
 asio::awaitable<TargetStep> TargetExchange::relayEvents()
 {
+    m_forwardsEvents = true;
     std::string output;
     while (!m_connection.complete()) {
         const auto step = co_await m_connection.readBody();
@@ -299,6 +307,10 @@
         co_return;
     }
     if (m_answer.begun()) {
+        if (m_forwardsEvents) {
+            // The caller reads why the stream ends; the missing end marker and final chunk show that it is incomplete.
+            co_await m_answer.write(errorEvent(*verdict.refusal));
+        }
         m_answer.abort();
         co_return;
     }
--- a/src/transport/data/targetexchange.h
+++ b/src/transport/data/targetexchange.h
@@ -74,6 +74,7 @@
     state::Time m_startedAt{};
     state::Duration m_timeToFirstToken{};
     int m_status = 0;
+    bool m_forwardsEvents = false; /**< the answer is a stream of events */
     bool m_firstTokenSeen = false;
 };
 
