Keep replies alive while the arbiter's tests read them

Cause: two tests used a grant inside a list of replies that was already gone or had just been cleared; the address sanitizer found one of them. Ruled out: a fault of the arbiter; its own code is free of findings. Change: the tests copy the grant or hold the replies.

--- a/tests/coordination/testarbiter.cpp
+++ b/tests/coordination/testarbiter.cpp
@@ -288,9 +288,8 @@
 
     // Tier 2 stays below the floor although there is room for it.
     fixture.release(running, GrantOutcome::Cancelled, Start + milliseconds(40));
-    const SlotGrant *next = grantIn(fixture.replies);
-    REQUIRE(next != nullptr);
-    fixture.release(*next, GrantOutcome::Cancelled, Start + milliseconds(50));
+    const SlotGrant next = grantOf(fixture.replies);
+    fixture.release(next, GrantOutcome::Cancelled, Start + milliseconds(50));
     CHECK(fixture.ask(makeAsk("low", 2), Start + milliseconds(60)).empty());
 }
 
@@ -469,7 +468,8 @@
         for (int i = 0; i < 4; ++i) {
             SlotAsk ask = makeAsk("r" + std::to_string(4 * round + i));
             ask.deadline = now + std::chrono::seconds(60);
-            if (const SlotGrant *grant = grantIn(fixture.ask(ask, now))) {
+            const Replies replies = fixture.ask(ask, now);
+            if (const SlotGrant *grant = grantIn(replies)) {
                 grants.push_back(*grant);
             }
         }
