Return grants that a floor overtook, and do not blame targets for late ones

Cause: review of the parts showed two gaps. And an expired or withdrawn dispatch was counted as a refused connection: it used the retry budget and went into the target's health. Ruled out: letting the arbiter recall grants, since the recall can be late too. Change: the entry host checks the floor when the grant arrives and returns it; DispatchRefused says whether the target refused. A returned grant is asked for again after 100 ms, not at once, because a local arbiter could repeat it without end.

--- a/src/coordination/event.h
+++ b/src/coordination/event.h
@@ -32,12 +32,13 @@
     state::RequestId request;
 };
 
-/** The target's address refused the connection; nothing was sent. */
+/** A dispatch ended before anything was sent. */
 struct DispatchRefused
 {
     state::RequestId request;
     state::GrantId grant = 0;
     std::string detail;
+    bool targetRefused = true; /**< false if the grant had expired or the request was withdrawn meanwhile */
 };
 
 /** The first byte of a request may have reached its target. */
--- a/src/coordination/hostcoordinator.cpp
+++ b/src/coordination/hostcoordinator.cpp
@@ -210,7 +210,7 @@
 
 void HostCoordinator::receive(const state::HostId &from, const SlotGrant &message, state::Time now)
 {
-    m_requests.granted(from, message, isUsable(message.target, message.version), now);
+    m_requests.granted(from, message, isUsable(message, now), now);
 }
 
 void HostCoordinator::receive(const state::HostId &from, const SlotDeny &message, state::Time now)
@@ -381,13 +381,18 @@
     }
 }
 
-bool HostCoordinator::isUsable(const state::TargetId &target, const state::VersionName &version) const
+bool HostCoordinator::isUsable(const SlotGrant &grant, state::Time now) const
 {
-    const Group *group = m_directory.groups().groupOfTarget(target);
-    if (group == nullptr || m_membership.targetState(target) != state::ListedState::Live) {
+    const Group *group = m_directory.groups().groupOfTarget(grant.target);
+    if (group == nullptr || m_membership.targetState(grant.target) != state::ListedState::Live) {
         return false;
     }
-    return !m_log.versions().isHalted(group->pool, version);
+    // A floor may have been raised after the arbiter issued the grant.
+    const auto tier = m_requests.tierOf(grant.request);
+    if (tier && *tier > m_gate->lowestGrantable(group->pool, now)) {
+        return false;
+    }
+    return !m_log.versions().isHalted(group->pool, grant.version);
 }
 
 } // namespace sapphirecove::coordination
--- a/src/coordination/hostcoordinator.h
+++ b/src/coordination/hostcoordinator.h
@@ -98,7 +98,7 @@
     void observe(const SlotRelease &release, state::Time now);
     /** Sends the outcome to the host that decides on the pool's version change, if it would not hear of it. */
     void copyToLeaseHolder(const state::HostId &arbiter, const SlotRelease &release, state::Time now);
-    bool isUsable(const state::TargetId &target, const state::VersionName &version) const;
+    bool isUsable(const SlotGrant &grant, state::Time now) const;
     std::string unreadyReason() const;
 
     CoordinatorOptions m_options;
--- a/src/coordination/requesttable.cpp
+++ b/src/coordination/requesttable.cpp
@@ -8,6 +8,7 @@
 
 // A lost ask or a lost grant costs at most this long.
 constexpr state::Duration AskInterval = std::chrono::seconds(1);
+constexpr state::Duration GrantRetryDelay = std::chrono::milliseconds(100);
 constexpr state::Duration ShortRetryAfter = std::chrono::seconds(1);
 
 Refusal notRun(RefusalReason reason, std::string_view detail, std::optional<state::Duration> retryAfter = std::nullopt)
@@ -85,7 +86,7 @@
     refuseKeyConflict(info, outcome == ClaimOutcome::Lost ? KeyVerdict::InProgress : KeyVerdict::Unavailable);
 }
 
-void RequestTable::granted(const state::HostId &from, const SlotGrant &grant, bool targetUsable, state::Time now)
+void RequestTable::granted(const state::HostId &from, const SlotGrant &grant, bool usable, state::Time now)
 {
     const auto found = m_entries.find(grant.request);
     if (found != m_entries.end() && found->second.grant.grant == grant.grant) {
@@ -93,8 +94,15 @@
     }
     const auto target = m_targets.find(grant.target);
     const bool wanted = found != m_entries.end() && found->second.phase == Phase::Waiting;
-    if (!wanted || target == m_targets.end() || !targetUsable) {
+    const bool allowed = usable && target != m_targets.end();
+    if (!wanted || !allowed) {
         returnGrant(from, grant, GrantOutcome::Unused, now);
+    }
+    if (wanted && !allowed) {
+        // The arbiter has closed this ask with its grant; asking at once could repeat the same grant without end.
+        found->second.askedAt = now - AskInterval + GrantRetryDelay;
+    }
+    if (!wanted || !allowed) {
         return;
     }
     Entry &entry = found->second;
@@ -164,6 +172,13 @@
         return;
     }
     Entry &entry = found->second;
+    if (!event.targetRefused) {
+        // The target is not to blame, so neither its health nor the retry budget is charged.
+        returnGrant(entry.route.arbiter, entry.grant, GrantOutcome::Unused, now);
+        entry.grant = SlotGrant{};
+        startWaiting(entry, now);
+        return;
+    }
     returnGrant(entry.route.arbiter, entry.grant, GrantOutcome::ConnectRefused, now);
     if (!m_retryBudget.take(now)) {
         endBeforeDispatch(
@@ -274,6 +289,12 @@
     return report;
 }
 
+std::optional<state::Tier> RequestTable::tierOf(const state::RequestId &request) const
+{
+    const auto found = m_entries.find(request);
+    return found == m_entries.end() ? std::nullopt : std::optional(found->second.info.tier);
+}
+
 bool RequestTable::contains(const state::RequestId &request) const
 {
     return m_entries.contains(request);
--- a/src/coordination/requesttable.h
+++ b/src/coordination/requesttable.h
@@ -53,8 +53,11 @@
     /** Continues or refuses a request whose claim was decided. */
     void claimResolved(const state::RequestId &request, ClaimOutcome outcome, state::Time now);
 
-    /** Uses the first grant for a waiting request and returns every other one. */
-    void granted(const state::HostId &from, const SlotGrant &grant, bool targetUsable, state::Time now);
+    /**
+     * Uses the first grant for a waiting request and returns every other one. A grant that must not be used because of
+     * its target or of the tier's floor is returned too, and the request asks again.
+     */
+    void granted(const state::HostId &from, const SlotGrant &grant, bool usable, state::Time now);
 
     /** Ends or reroutes a waiting request whose current arbiter denied it. */
     void denied(const state::HostId &from, const SlotDeny &deny, state::Time now);
@@ -71,6 +74,9 @@
     /** Returns what this host has dispatched or may dispatch to a group. */
     OutstandingReport outstanding(const state::GroupId &group) const;
 
+    /** Returns the tier of a request in the table. */
+    std::optional<state::Tier> tierOf(const state::RequestId &request) const;
+
     /** Returns whether a claim belongs to a request that is still in the table. */
     bool contains(const state::RequestId &request) const;
 
--- a/src/transport/data/targetexchange.cpp
+++ b/src/transport/data/targetexchange.cpp
@@ -92,27 +92,27 @@
 {
     const auto remaining = m_dispatch.expires - m_context.clock.now();
     if (remaining <= state::Duration::zero()) {
-        co_return refuseStart("grant expired");
+        co_return refuseStart("grant expired", false);
     }
     const Endpoint endpoint{ m_dispatch.address, m_dispatch.port };
     const auto error = co_await m_connection.connect(endpoint, std::min(ConnectLimit, remaining));
     if (m_request.stopRequested() || m_request.callerGone) {
-        co_return refuseStart("withdrawn before the dispatch");
+        co_return refuseStart("withdrawn before the dispatch", false);
     }
     if (error) {
-        co_return refuseStart(error.message());
+        co_return refuseStart(error.message(), true);
     }
     if (m_context.clock.now() >= m_dispatch.expires) {
-        co_return refuseStart("grant expired");
+        co_return refuseStart("grant expired", false);
     }
     m_startedAt = m_context.clock.now();
     m_context.send(coordination::DispatchStarted{ m_request.info.id, m_dispatch.grant });
     co_return true;
 }
 
-bool TargetExchange::refuseStart(const std::string &detail)
+bool TargetExchange::refuseStart(const std::string &detail, bool targetRefused)
 {
-    m_context.send(coordination::DispatchRefused{ m_request.info.id, m_dispatch.grant, detail });
+    m_context.send(coordination::DispatchRefused{ m_request.info.id, m_dispatch.grant, detail, targetRefused });
     return false;
 }
 
--- a/src/transport/data/targetexchange.h
+++ b/src/transport/data/targetexchange.h
@@ -41,7 +41,7 @@
     };
 
     boost::asio::awaitable<bool> start();
-    bool refuseStart(const std::string &detail);
+    bool refuseStart(const std::string &detail, bool targetRefused);
     boost::asio::awaitable<Verdict> transfer();
     boost::asio::awaitable<Verdict> forwardDocument();
     boost::asio::awaitable<Verdict> forwardHeld(const AnswerHead &head, const std::string &body);
--- a/tests/coordination/testrequesttable.cpp
+++ b/tests/coordination/testrequesttable.cpp
@@ -103,6 +103,10 @@
     f.table.granted("arbiter", makeGrant("r", 1), false, Start);
     CHECK(f.effects.all<Dispatch>().empty());
     CHECK(f.effects.sentTo<SlotRelease>("arbiter").size() == 1);
+    // The request asks again soon, but not at once: a local arbiter would repeat the grant without end.
+    CHECK(f.effects.sentTo<SlotAsk>("arbiter").size() == 1);
+    f.table.tick(Start + std::chrono::milliseconds(100));
+    CHECK(f.effects.sentTo<SlotAsk>("arbiter").size() == 2);
 }
 
 // Guards against a repetition after the first byte may have reached a target.
@@ -135,6 +139,22 @@
     CHECK(f.table.size() == 0);
 }
 
+// Guards against a healthy target that is blamed, and a retry budget that is used up, for a grant that came too late.
+TEST_CASE("an expired grant is returned without blame and asked for again", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    for (state::GrantId grant = 1; grant <= 10; ++grant) {
+        f.table.granted("arbiter", makeGrant("r", grant), true, Start);
+        f.table.dispatchRefused({ "r", grant, "grant expired", false }, Start);
+    }
+    CHECK(f.effects.all<Refuse>().empty());
+    for (const SlotRelease &release : f.effects.sentTo<SlotRelease>("arbiter")) {
+        CHECK(release.outcome == GrantOutcome::Unused);
+    }
+    CHECK(f.effects.sentTo<SlotAsk>("arbiter").size() == 11);
+}
+
 // Guards against a caller that waits for a lost ask or a dead arbiter.
 TEST_CASE("an ask is repeated and follows a change of the arbiter", "[requesttable]")
 {
