Make version changes work through real engines

The stand-in engine reported "loading" as a string, the codec expected a boolean, and the watcher dropped every load report without a word, so the lease holder saw no target. Once reports arrived, a good version was halted: 1.5 ms to the first token counted as 149% of 1 ms. Ruled out: the lease (held, audit trail shows it) and the orders (none sent).

--- a/src/coordination/targetbaselines.cpp
+++ b/src/coordination/targetbaselines.cpp
@@ -10,6 +10,13 @@
 /** Work of a prefill that does not depend on the prompt, in tokens. */
 constexpr double FixedPrefillTokens = 64;
 
+/**
+ * Shorter times count as this long. Callers wait 860 ms for a first token, and the scheduling of processes alone varies
+ * by milliseconds: without the floor a good version was halted because 1.5 ms is 149% of 1 ms.
+ */
+constexpr state::Duration ShortestFirstToken = std::chrono::milliseconds(20);
+constexpr state::Duration ShortestTokenGap = std::chrono::milliseconds(2);
+
 std::optional<double> logOf(state::Duration time, double work)
 {
     if (time <= state::Duration(0)) {
@@ -18,6 +25,12 @@
     return std::log(static_cast<double>(time.count()) / work);
 }
 
+/** Returns @p time, or @p least if it is shorter; zero means not measured and stays. */
+state::Duration atLeast(state::Duration time, state::Duration least)
+{
+    return time > state::Duration(0) ? std::max(time, least) : time;
+}
+
 } // namespace
 
 LogLatencies logLatencies(const SlotRelease &release)
@@ -31,9 +44,11 @@
         return latencies;
     }
     const auto cached = std::min(release.cachedTokens, release.promptTokens);
-    latencies.prefill = logOf(release.timeToFirstToken, FixedPrefillTokens + release.promptTokens - cached);
+    latencies.prefill = logOf(atLeast(release.timeToFirstToken, ShortestFirstToken),
+                              FixedPrefillTokens + release.promptTokens - cached);
     if (release.outputTokens > 1) {
-        latencies.decode = logOf(release.total - release.timeToFirstToken, release.outputTokens - 1.0);
+        const auto gaps = release.outputTokens - 1;
+        latencies.decode = logOf(atLeast(release.total - release.timeToFirstToken, gaps * ShortestTokenGap), gaps);
     }
     return latencies;
 }
--- a/src/transport/platform/targetwatcher.cpp
+++ b/src/transport/platform/targetwatcher.cpp
@@ -1,6 +1,7 @@
 #include "transport/platform/targetwatcher.h"
 
 #include "protocol/platformcodec.h"
+#include "transport/log.h"
 #include "transport/pause.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -18,9 +19,9 @@
 
 constexpr state::Duration PollLimit = std::chrono::seconds(1);
 
-/** Returns the value of @p read, or nothing if it failed. */
+/** Returns the value of @p read, or nothing if it failed; @p reported keeps the log to one line for each series. */
 template <typename Value, typename Read>
-std::optional<Value> valueOf(Read read)
+std::optional<Value> valueOf(Read read, bool &reported)
 {
     return state::handleFailure(
         [&]() -> state::Result<std::optional<Value>> {
@@ -28,9 +29,13 @@
             if (!result) {
                 return result.error();
             }
+            reported = false;
             return std::optional<Value>(std::move(result.value()));
         },
-        [](const state::Failure &) {
+        [&](const state::Failure &failure) {
+            if (!std::exchange(reported, true)) {
+                logFailure("target_report_unreadable", failure);
+            }
             return std::optional<Value>();
         });
 }
@@ -85,9 +90,11 @@
     if (!outcome.ok() || m_stopped || m_events.congested()) {
         co_return;
     }
-    auto report = valueOf<coordination::LoadReported>([&] {
-        return protocol::decodeLoadReport(outcome.body, m_target.target, toString(m_client.endpoint()));
-    });
+    auto report = valueOf<coordination::LoadReported>(
+        [&] {
+            return protocol::decodeLoadReport(outcome.body, m_target.target, toString(m_client.endpoint()));
+        },
+        m_loadFailureReported);
     if (report) {
         m_events.send(std::move(*report));
     }
@@ -101,10 +108,12 @@
     if (!outcome.ok() || m_stopped || m_events.congested()) {
         co_return;
     }
-    auto answer = valueOf<protocol::CacheEventsAnswer>([&] {
-        return protocol::decodeCacheEvents(
-            outcome.body, m_target.target, m_nextCacheEvent, toString(m_client.endpoint()));
-    });
+    auto answer = valueOf<protocol::CacheEventsAnswer>(
+        [&] {
+            return protocol::decodeCacheEvents(
+                outcome.body, m_target.target, m_nextCacheEvent, toString(m_client.endpoint()));
+        },
+        m_cacheFailureReported);
     if (!answer) {
         co_return;
     }
--- a/src/transport/platform/targetwatcher.h
+++ b/src/transport/platform/targetwatcher.h
@@ -41,6 +41,8 @@
     EventSender &m_events;
     HttpClient m_client;
     state::Offset m_nextCacheEvent = 0;
+    bool m_loadFailureReported = false;
+    bool m_cacheFailureReported = false;
     bool m_stopped = false;
 };
 
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -382,7 +382,7 @@
              { "running", report.running },
              { "waiting", report.waiting },
              { "version", report.version },
-             { "loading", report.loading } };
+             { "loading", !report.loading.empty() } };
 }
 
 } // namespace sapphirecove::standins
--- /dev/null
+++ b/tests/coordination/testtargetbaselines.cpp
@@ -0,0 +1,33 @@
+#include "coordination/targetbaselines.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirecove;
+using namespace sapphirecove::coordination;
+using std::chrono::milliseconds;
+
+namespace {
+
+SlotRelease releaseOf(state::Duration firstToken, state::Duration total)
+{
+    SlotRelease release;
+    release.promptTokens = 10;
+    release.outputTokens = 11;
+    release.timeToFirstToken = firstToken;
+    release.total = total;
+    return release;
+}
+
+} // namespace
+
+// Guards against a good version that is halted because of milliseconds that no caller notices.
+TEST_CASE("differences below the shortest times that count are ignored", "[targetbaselines]")
+{
+    const auto fast = logLatencies(releaseOf(milliseconds(1), milliseconds(11)));
+    const auto faster = logLatencies(releaseOf(milliseconds(2), milliseconds(14)));
+    CHECK(fast.prefill == faster.prefill);
+    CHECK(fast.decode == faster.decode);
+    const auto slow = logLatencies(releaseOf(milliseconds(40), milliseconds(140)));
+    CHECK(slow.prefill > fast.prefill);
+    CHECK(slow.decode > fast.decode);
+}
