Judge publications in the command by the hosts' own rule

Cause: review of the log modules showed that PublicationTracker, a second copy of the acceptance rule, took a checkpoint's generation as in force at the checkpoint's own offset. After records had expired, config publish could say "accepted" for a record that every host rejects. Ruled out: teaching the copy about the offset that a checkpoint names, since the rule would then stand twice. Change: the command uses ConfigurationFollower and the copy is gone. Two tests named checkpoints without that offset, which hosts never write; they name it now. A new test has a publication between that offset and the checkpoint.

--- a/src/cli/publisher.cpp
+++ b/src/cli/publisher.cpp
@@ -18,7 +18,7 @@
 
 Publisher::Publisher(ConfigurationLog &log, const coordination::DocumentChecker &checker)
     : m_log(log)
-    , m_tracker(checker)
+    , m_follower(coordination::ConfigurationFollower::create(checker))
 {
 }
 
@@ -30,18 +30,18 @@
     if (!result.detail.empty()) {
         return result;
     }
-    const auto generation = m_tracker.generation();
-    if (!generation) {
+    if (!m_follower.isExact()) {
         result.detail =
             "the log has neither its first record nor a checkpoint, so the generation in force is not known";
         return result;
     }
-    result.base = request.base.value_or(*generation);
+    const state::Generation generation = m_follower.generation();
+    result.base = request.base.value_or(generation);
     // A generation never decreases, so a base below it can no longer be accepted and need not be appended.
-    if (result.base != *generation) {
+    if (result.base != generation) {
         result.outcome = PublishOutcome::NotAccepted;
         result.detail = "base generation " + std::to_string(result.base) + " is not the generation in force, "
-            + std::to_string(*generation) + "; nothing was appended";
+            + std::to_string(generation) + "; nothing was appended";
         return result;
     }
     if (const auto notSent = appendOnce(request, result.base)) {
@@ -79,19 +79,22 @@
 state::Result<std::size_t> Publisher::readNext(state::Duration wait)
 {
     BOOST_LEAF_AUTO(answer, m_log.read(m_next.value_or(0), wait));
-    if (!m_next) {
-        m_tracker.start(answer.first);
-    } else if (answer.first > *m_next) {
+    if (m_next && answer.first > *m_next) {
         return state::fail("log.read", "", "records expired before they were read");
     }
+    const state::Time now = m_log.now();
+    const std::size_t count = answer.records.size() + answer.unreadable.size();
+    m_follower.readFrom(answer.first);
     for (const state::StoredRecord &stored : answer.records) {
-        const auto outcome = m_tracker.apply(stored.record);
-        if (outcome && outcome->publishId == m_publishId) {
-            m_outcome = outcome;
+        for (const coordination::ConfigurationOutcome &outcome : m_follower.apply(stored, now)) {
+            if (outcome.publication.publishId == m_publishId) {
+                m_outcome = outcome.publication;
+            }
         }
     }
+    m_follower.readTo(answer.next, count == 0, now);
     m_next = answer.next;
-    return answer.records.size() + answer.unreadable.size();
+    return count;
 }
 
 std::optional<std::string> Publisher::appendOnce(const PublishRequest &request, state::Generation base)
@@ -135,7 +138,7 @@
     }
     if (m_outcome) {
         result.outcome = m_outcome->accepted ? PublishOutcome::Accepted : PublishOutcome::NotAccepted;
-        result.generation = m_outcome->generation;
+        result.generation = m_outcome->accepted ? m_outcome->generation : m_follower.generation();
         result.detail = m_outcome->detail;
     }
     return result;
--- a/src/cli/publisher.h
+++ b/src/cli/publisher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cli/configurationlog.h"
+#include "coordination/configurationfollower.h"
 #include "coordination/documentchecker.h"
-#include "protocol/publicationtracker.h"
 
 #include <optional>
 #include <string>
@@ -59,10 +59,10 @@
     state::Result<std::size_t> readNext(state::Duration wait);
 
     ConfigurationLog &m_log;
-    protocol::PublicationTracker m_tracker;
+    coordination::ConfigurationFollower m_follower;
     std::optional<state::Offset> m_next;
     std::string m_publishId;
-    std::optional<protocol::PublicationOutcome> m_outcome;
+    std::optional<coordination::PublicationStatus> m_outcome;
 };
 
 } // namespace sapphirecove::cli
--- a/tests/cli/testpublisher.cpp
+++ b/tests/cli/testpublisher.cpp
@@ -39,8 +39,8 @@
     log.add(publication("b", 0)); // not accepted: generation 1 is in force
     log.add(publication("c", 1, "{}")); // not accepted: the document has no tiers
     log.add(publication("d", 1));
-    log.add(state::ConfigurationCheckpoint{ 1, "d", "other", Document }); // lower than the generation in force
-    log.add(state::ConfigurationCheckpoint{ 7, "e", "other", Document });
+    log.add(state::ConfigurationCheckpoint{ 1, "d", "other", Document, 1 }); // lower than the generation in force
+    log.add(state::ConfigurationCheckpoint{ 7, "e", "other", Document, 5 });
     const PublishResult result = publish(log);
     CHECK(result.outcome == PublishOutcome::Accepted);
     CHECK(result.base == 7);
@@ -62,7 +62,7 @@
     const PublishResult result = publish(log);
     CHECK(result.outcome == PublishOutcome::NotAccepted);
     CHECK(result.generation == 1);
-    CHECK(result.detail == "base generation 0 is not the generation in force, 1");
+    CHECK(result.detail == "base generation 0 is not in force; 1 is");
     CHECK(log.appends == 1);
 }
 
@@ -138,12 +138,27 @@
     FakeLog log;
     log.first = 5;
     log.add(publication("a", 3));
-    log.add(state::ConfigurationCheckpoint{ 4, "a", "other", Document });
+    log.add(state::ConfigurationCheckpoint{ 4, "a", "other", Document, 6 });
     const PublishResult result = publish(log, 4);
     CHECK(result.outcome == PublishOutcome::Accepted);
     CHECK(result.generation == 5);
 }
 
+// Guards against a false "accepted": a checkpoint names the generation at the offset up to which its author had read,
+// and a publication between that offset and the checkpoint raises it.
+TEST_CASE("a publication that a checkpoint's author had not read counts", "[publisher]")
+{
+    FakeLog log;
+    log.first = 5;
+    log.add(publication("a", 4));
+    log.add(state::ConfigurationCheckpoint{ 4, "z", "other", Document, 5 });
+    CHECK(publish(log, 4).outcome == PublishOutcome::NotAccepted);
+    const PublishResult result = publish(log);
+    CHECK(result.outcome == PublishOutcome::Accepted);
+    CHECK(result.base == 5);
+    CHECK(result.generation == 6);
+}
+
 // Guards against "outcome unknown" when the connection for the append was refused and nothing can have been stored.
 TEST_CASE("a refused connection is reported as not sent", "[publisher]")
 {
