Let a drained host fall silent without stopping lower tiers

Cause: each silence of a listed host stops all tiers but 0 on every host for up to 4.4 s. Ruled out: a shorter quiet period for all, since a peer that is cut off may still shed. Change: a peer whose last heartbeat said that it drains does not count as quiet. It arbitrates nothing, so it sheds nothing. Before: no test covered it.

--- a/src/coordination/tiergate.cpp
+++ b/src/coordination/tiergate.cpp
@@ -67,6 +67,7 @@
     }
     Peer &peer = position->second;
     peer.lastHeard = now;
+    peer.draining = heartbeat.draining;
     if (heartbeat.acknowledged > peer.acknowledged) {
         peer.lastAcknowledgement = now;
     }
@@ -149,7 +150,7 @@
     state::Time next = now + QuietAfter;
     for (const auto &[id, peer] : m_peers) {
         const state::Duration silence = now - peer.lastHeard;
-        if (silence >= QuietAfter && silence < QuietUntil) {
+        if (!peer.draining && silence >= QuietAfter && silence < QuietUntil) {
             return true;
         }
         if (silence < QuietAfter) {
--- a/src/coordination/tiergate.h
+++ b/src/coordination/tiergate.h
@@ -75,6 +75,7 @@
         state::Time lastHeard{}; /**< or start of the listing */
         state::Time lastAcknowledgement{}; /**< of a sequence not acknowledged before, or start of the listing */
         std::uint64_t acknowledged = 0;
+        bool draining = false; /**< as of its last heartbeat; it arbitrates nothing, so it sheds nothing */
     };
 
     /** What one heartbeat said about a floor. */
--- a/tests/coordination/testtiergate.cpp
+++ b/tests/coordination/testtiergate.cpp
@@ -150,6 +150,19 @@
     }
 }
 
+// Guards against lower tiers that stop on every host for seconds after each graceful stop: the platform's list names
+// the stopped host for a while.
+TEST_CASE("a host that drained before it fell silent stops no tier", "[tiergate]")
+{
+    const Fixture fixture;
+    Heartbeat last = acknowledging(10);
+    last.draining = true;
+    fixture.gate->heartbeatReceived("b", last, Start);
+    const auto later = Start + TierGate::QuietAfter + milliseconds(200);
+    fixture.acknowledge("c", 11, later);
+    CHECK(fixture.gate->lowestGrantable(Pool, later) == TierGate::NoFloor);
+}
+
 // Guards against a floor that the peers hear with a later end than the host itself observes.
 TEST_CASE("floors are announced with the time that is left", "[tiergate]")
 {
