--- a/scripts/demo/demo.py
+++ b/scripts/demo/demo.py
@@ -228,6 +228,27 @@
             good = good and result["complete"]
         return good
 
+    def show_fleet(self):
+        """Prints what host 0 knows of the other hosts, and the groups that each live host arbitrates."""
+        status = self.status(0)
+        print(f"the fleet as {status['host']} sees it:")
+        for peer in status["peers"]:
+            state = "alive" if peer["alive"] else "silent"
+            print(f"    {peer['id']}: {state}, generation {peer['generation']}")
+        for index in range(HOSTS):
+            if self.processes[self.host_id(index)].poll() is None:
+                groups = [group["group"] for group in self.status(index)["groups"]]
+                print(f"    {self.host_id(index)} arbitrates {', '.join(groups) or 'no group'}")
+        print()
+
+    def status(self, index):
+        connection = http.client.HTTPConnection("127.0.0.1", self.port(index) + 1, timeout=5)
+        try:
+            connection.request("GET", "/operators/v1/status", headers={"Authorization": f"Bearer {OPERATORS_KEY}"})
+            return json.loads(connection.getresponse().read())
+        finally:
+            connection.close()
+
     def run(self):
         self.start_outside_systems()
         self.start_hosts()
@@ -262,6 +283,7 @@
         self.call_service(0, key)
         self.call_service(2, key)
         print()
+        self.show_fleet()
         for arguments in (("config", "status"), ("versions", "status"), ("audit",)):
             self.command(*arguments)
             print()
