Give the releases of the latency test an outcome

Its releases had no outcome, so no latency was taken and two absent values were equal; the part that should have seen the floor could not fail. Ruled out: the floor itself, which works once the outcome is set. Change: the releases are complete, and the test demands that values are there.

--- a/tests/coordination/testtargetbaselines.cpp
+++ b/tests/coordination/testtargetbaselines.cpp
@@ -11,6 +11,7 @@
 SlotRelease releaseOf(state::Duration firstToken, state::Duration total)
 {
     SlotRelease release;
+    release.outcome = GrantOutcome::Complete;
     release.promptTokens = 10;
     release.outputTokens = 11;
     release.timeToFirstToken = firstToken;
@@ -25,6 +26,8 @@
 {
     const auto fast = logLatencies(releaseOf(milliseconds(1), milliseconds(11)));
     const auto faster = logLatencies(releaseOf(milliseconds(2), milliseconds(14)));
+    REQUIRE(fast.prefill);
+    REQUIRE(fast.decode);
     CHECK(fast.prefill == faster.prefill);
     CHECK(fast.decode == faster.decode);
     const auto slow = logLatencies(releaseOf(milliseconds(40), milliseconds(140)));
