Simplify the use of a grant in the request table

Cause: the read-through found one condition tested three times in granted() and a time argument that dispatchStarted() only discarded. Ruled out: moving the return of grants to the caller, which would then need the request's phase. Change: early returns, one for each reason; the argument is gone. Behaviour is the same.

--- a/src/coordination/hostcoordinator.cpp
+++ b/src/coordination/hostcoordinator.cpp
@@ -95,9 +95,9 @@
     m_requests.dispatchRefused(event, now);
 }
 
-void HostCoordinator::on(const DispatchStarted &event, state::Time now)
+void HostCoordinator::on(const DispatchStarted &event, state::Time)
 {
-    m_requests.dispatchStarted(event, now);
+    m_requests.dispatchStarted(event);
 }
 
 void HostCoordinator::on(const FirstTokenReceived &event, state::Time)
--- a/src/coordination/requesttable.cpp
+++ b/src/coordination/requesttable.cpp
@@ -93,16 +93,14 @@
         return; // repeated delivery of the grant in use
     }
     const auto target = m_targets.find(grant.target);
-    const bool wanted = found != m_entries.end() && found->second.phase == Phase::Waiting;
-    const bool allowed = usable && target != m_targets.end();
-    if (!wanted || !allowed) {
+    if (found == m_entries.end() || found->second.phase != Phase::Waiting) {
         returnGrant(from, grant, GrantOutcome::Unused, now);
+        return;
     }
-    if (wanted && !allowed) {
+    if (!usable || target == m_targets.end()) {
+        returnGrant(from, grant, GrantOutcome::Unused, now);
         // The arbiter has closed this ask with its grant; asking at once could repeat the same grant without end.
         found->second.askedAt = now - AskInterval + GrantRetryDelay;
-    }
-    if (!wanted || !allowed) {
         return;
     }
     Entry &entry = found->second;
@@ -154,13 +152,12 @@
     }
 }
 
-void RequestTable::dispatchStarted(const DispatchStarted &event, state::Time now)
+void RequestTable::dispatchStarted(const DispatchStarted &event)
 {
     const auto found = m_entries.find(event.request);
     if (found == m_entries.end() || found->second.grant.grant != event.grant) {
         return;
     }
-    static_cast<void>(now);
     found->second.phase = Phase::Dispatched;
     ++m_counters.dispatched;
 }
--- a/src/coordination/requesttable.h
+++ b/src/coordination/requesttable.h
@@ -62,7 +62,7 @@
     /** Ends or reroutes a waiting request whose current arbiter denied it. */
     void denied(const state::HostId &from, const SlotDeny &deny, state::Time now);
 
-    void dispatchStarted(const DispatchStarted &event, state::Time now);
+    void dispatchStarted(const DispatchStarted &event);
     void dispatchRefused(const DispatchRefused &event, state::Time now);
     void firstTokenReceived(const state::RequestId &request);
     void dispatchFinished(const DispatchFinished &event, state::Time now);
--- a/tests/coordination/testrequesttable.cpp
+++ b/tests/coordination/testrequesttable.cpp
@@ -115,7 +115,7 @@
     Fixture f;
     f.arrive(makeRequest("r"));
     f.table.granted("arbiter", makeGrant("r", 1), true, Start);
-    f.table.dispatchStarted({ "r", 1 }, Start);
+    f.table.dispatchStarted({ "r", 1 });
     f.table.dispatchRefused({ "r", 1, "late" }, Start);
     f.table.granted("arbiter", makeGrant("r", 2), true, Start);
     f.table.denied("arbiter", SlotDeny{ "r", "p@r#0", DenyReason::Overloaded, {} }, Start);
@@ -210,7 +210,7 @@
     f.arrive(request);
     f.table.claimResolved("r", ClaimOutcome::Won, Start);
     f.table.granted("arbiter", makeGrant("r", 1), true, Start);
-    f.table.dispatchStarted({ "r", 1 }, Start);
+    f.table.dispatchStarted({ "r", 1 });
     f.table.dispatchFinished({ "r", 1, outcome, 200 }, Start);
     REQUIRE(f.effects.finished.size() == 1);
     const bool answered = outcome == GrantOutcome::Complete || outcome == GrantOutcome::Failed;
@@ -240,7 +240,7 @@
     Fixture f;
     f.arrive(makeRequest("r"));
     f.table.granted("arbiter", makeGrant("r", 1), true, Start);
-    f.table.dispatchStarted({ "r", 1 }, Start);
+    f.table.dispatchStarted({ "r", 1 });
     f.table.tick(Start + std::chrono::seconds(31));
     f.table.tick(Start + std::chrono::seconds(32));
     REQUIRE(f.effects.all<Refuse>().size() == 1);
@@ -288,7 +288,7 @@
                     ++answered;
                     if (pick(2) == 0) {
                         started = true;
-                        f.table.dispatchStarted({ "r", dispatches.back().grant }, now);
+                        f.table.dispatchStarted({ "r", dispatches.back().grant });
                     } else {
                         f.table.dispatchRefused({ "r", dispatches.back().grant, "refused" }, now);
                     }
