Use the field's terms for leases and late asks

Cause: the read-through found "give up" for the release of a lease and a "hopeless" ask, where the field says release and missed deadline. Ruled out: renaming the victim of the queue, which is the usual term. Change: LeaseTable::release(), GroupArbiter::willMissDeadline(). No behaviour changes. Measured: 118 cases of test_coordination pass.

--- a/src/coordination/grouparbiter.cpp
+++ b/src/coordination/grouparbiter.cpp
@@ -116,7 +116,7 @@
         || start + m_targets.fastest(ask, m_targets.mostCachedTokens(ask), output) > ask.deadline;
 }
 
-bool GroupArbiter::isHopeless(const WaitingAsk &waiting, state::Time now)
+bool GroupArbiter::willMissDeadline(const WaitingAsk &waiting, state::Time now)
 {
     const int streams = m_targets.totalStreams();
     if (streams == 0 || (m_queue.empty() && hasRoom(now))) {
@@ -131,7 +131,7 @@
 
 void GroupArbiter::enqueue(WaitingAsk waiting, state::Time now)
 {
-    if (isHopeless(waiting, now)) {
+    if (willMissDeadline(waiting, now)) {
         m_shedList.add(waiting.ask.tier, waiting.ask.request, waiting.from);
         return;
     }
--- a/src/coordination/grouparbiter.h
+++ b/src/coordination/grouparbiter.h
@@ -65,7 +65,7 @@
     bool answerGranted(const state::HostId &from, const SlotAsk &ask, state::Time now, Replies &replies);
     std::optional<SlotDeny> refusal(const SlotAsk &ask, state::Time now) const;
     bool isTooLate(const SlotAsk &ask, state::Time start) const;
-    bool isHopeless(const WaitingAsk &waiting, state::Time now);
+    bool willMissDeadline(const WaitingAsk &waiting, state::Time now);
     WaitingAsk prepare(const state::HostId &from, const SlotAsk &ask, state::Time now) const;
     void enqueue(WaitingAsk waiting, state::Time now);
 
--- a/src/coordination/leasetable.cpp
+++ b/src/coordination/leasetable.cpp
@@ -94,7 +94,7 @@
         return false;
     }
     const auto &entry = found->second;
-    return entry.held && !entry.givenUp && isOwn(entry.lease) && now < entry.actUntil;
+    return entry.held && !entry.released && isOwn(entry.lease) && now < entry.actUntil;
 }
 
 std::optional<state::Offset> LeaseTable::fencing(const std::string &name, state::Time now) const
@@ -122,7 +122,7 @@
         return true;
     }
     const auto &entry = found->second;
-    return !entry.givenUp && hasLapsed(entry, now) && !appendedLately(entry, now);
+    return !entry.released && hasLapsed(entry, now) && !appendedLately(entry, now);
 }
 
 state::LeaseTaken LeaseTable::take(const std::string &name, state::Time now)
@@ -132,11 +132,11 @@
     return { name, m_host, m_incarnation, LeaseDuration, now };
 }
 
-state::LeaseTaken LeaseTable::giveUp(const std::string &name, state::Time now)
+state::LeaseTaken LeaseTable::release(const std::string &name, state::Time now)
 {
     auto &entry = m_entries[name];
     entry.lastSent = now;
-    entry.givenUp = true;
+    entry.released = true;
     return { name, m_host, m_incarnation, state::Duration(0), now };
 }
 
--- a/src/coordination/leasetable.h
+++ b/src/coordination/leasetable.h
@@ -96,7 +96,7 @@
      * Returns the record that gives a lease up and stops mayAct at once. This incarnation cannot hold the lease again:
      * a record sent later could reach the log earlier, and the host would not see in time that it has lost the lease.
      */
-    state::LeaseTaken giveUp(const std::string &name, state::Time now);
+    state::LeaseTaken release(const std::string &name, state::Time now);
 
 private:
     struct Entry
@@ -107,7 +107,7 @@
         state::Duration duration{}; /**< of the last valid record */
         state::Time actUntil{}; /**< own clock; records of this incarnation only */
         std::optional<state::Time> lastSent;
-        bool givenUp = false;
+        bool released = false;
     };
 
     LeaseTable(const state::HostId &host, state::Incarnation incarnation);
--- a/src/coordination/logduties.cpp
+++ b/src/coordination/logduties.cpp
@@ -79,7 +79,7 @@
     for (const auto &[pool, settings] : m_configuration.configuration()->pools) {
         const std::string name = VersionController::leaseName(pool);
         if (m_leases.mayAct(name, now)) {
-            actions.emplace_back(AppendRecords{ state::Stream::Leases, { m_leases.giveUp(name, now) } });
+            actions.emplace_back(AppendRecords{ state::Stream::Leases, { m_leases.release(name, now) } });
         }
     }
 }
--- a/tests/coordination/leasetable.cpp
+++ b/tests/coordination/leasetable.cpp
@@ -64,7 +64,7 @@
             table = LeaseTable::create(host, ++incarnation);
             break;
         case 2:
-            log.send(table.giveUp(Name, now), now, 15s);
+            log.send(table.release(Name, now), now, 15s);
             break;
         default:
             break;
@@ -139,7 +139,7 @@
     auto table = caughtUp("a1");
     table.apply(stored(0, Start, table.take(Name, Start)), Start);
     const auto renewal = table.take(Name, Start + 1s);
-    const auto end = table.giveUp(Name, Start + 2s);
+    const auto end = table.release(Name, Start + 2s);
     CHECK_FALSE(table.mayAct(Name, Start + 2s));
     table.apply(stored(1, Start + 2s, end), Start + 2s);
     CHECK_FALSE(table.holder(Name, Start + 2s));
