Name the host's failure domain in its asks

Cause: the last reading of the whole change found that SlotAsk's source failure domain was read by placement and carried by the codec, but set nowhere. Ruled out: deriving it at the arbiter from the sender, since the arbiter would need the host list for what the entry host knows from its settings. Change: the request table gets the failure domain and writes it into each ask, with a test.

--- a/src/coordination/hostcoordinator.cpp
+++ b/src/coordination/hostcoordinator.cpp
@@ -49,7 +49,7 @@
     , m_log(options, checker)
     , m_directory(options.host, options.region)
     , m_arbiters(options, *m_gate)
-    , m_requests(*this)
+    , m_requests(*this, options.failureDomain)
 {
 }
 
--- a/src/coordination/requesttable.cpp
+++ b/src/coordination/requesttable.cpp
@@ -23,8 +23,9 @@
 
 } // namespace
 
-RequestTable::RequestTable(RequestEffects &effects)
+RequestTable::RequestTable(RequestEffects &effects, std::string failureDomain)
     : m_effects(effects)
+    , m_failureDomain(std::move(failureDomain))
 {
 }
 
@@ -373,6 +374,7 @@
     ask.bodyBytes = entry.info.bodyBytes;
     ask.deadline = entry.info.deadline;
     ask.prefixHashes = entry.info.prefixHashes;
+    ask.sourceFailureDomain = m_failureDomain;
     ask.excluded = entry.excludedTargets;
     entry.askedAt = now;
     m_effects.send(entry.route.arbiter, std::move(ask), now);
--- a/src/coordination/requesttable.h
+++ b/src/coordination/requesttable.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -42,7 +43,8 @@
 class RequestTable
 {
 public:
-    explicit RequestTable(RequestEffects &effects);
+    /** @p failureDomain is the host's own; arbiters place its requests near it. */
+    RequestTable(RequestEffects &effects, std::string failureDomain);
 
     /** Admits a request or refuses it at once. */
     void arrived(const RequestInfo &request,
@@ -122,6 +124,7 @@
     void followArbiter(Entry &entry, state::Time now);
 
     RequestEffects &m_effects;
+    std::string m_failureDomain;
     Entries m_entries;
     std::map<state::TargetId, state::Target> m_targets;
     CustomerLimiter m_limiter;
--- a/tests/coordination/testrequesttable.cpp
+++ b/tests/coordination/testrequesttable.cpp
@@ -50,7 +50,7 @@
 struct Fixture
 {
     Fixture()
-        : table(effects)
+        : table(effects, "accra-osu")
         , configuration(makeConfiguration())
     {
         effects.routes = { Route{ "p@r#0", "arbiter" } };
@@ -155,6 +155,15 @@
     CHECK(f.effects.sentTo<SlotAsk>("arbiter").size() == 11);
 }
 
+// Guards against placement that cannot tell near targets from far ones.
+TEST_CASE("an ask names the failure domain of its host", "[requesttable]")
+{
+    Fixture f;
+    f.arrive(makeRequest("r"));
+    REQUIRE(f.effects.sentTo<SlotAsk>("arbiter").size() == 1);
+    CHECK(f.effects.sentTo<SlotAsk>("arbiter")[0].sourceFailureDomain == "accra-osu");
+}
+
 // Guards against a caller that waits for a lost ask or a dead arbiter.
 TEST_CASE("an ask is repeated and follows a change of the arbiter", "[requesttable]")
 {
