Read targets with a waiting call, and charge quotas after the scheduler

(2) A request that the scheduler refused at once had already cost its customer quota. (3) Hosts kept up to 32 idle connections to a target whatever the target accepts. Ruled out: giving a charge back later: peers would have to learn when it was made. Change: a waiting read of 2.5 s with at least 0.4 s between two; chargeQuota() after enqueue(); idleConnectionLimit(); SlidingCount shared by both budgets; expireTargets() recounts only after a loss; the queue keeps an index by id. Tests: the quota test failed with the charge before enqueue(), and passes now.

--- a/src/coordination/entry/repeatbudget.h
+++ b/src/coordination/entry/repeatbudget.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "coordination/slidingcount.h"
 #include "state/entry/bounds.h"
 #include "state/time.h"
 
-#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -30,11 +30,11 @@
 private:
     struct Window
     {
-        std::deque<state::Time> requests;
-        std::deque<state::Time> repeats;
+        SlidingCount requests;
+        SlidingCount repeats;
     };
 
-    Window &windowOf(std::string_view service, state::Time now);
+    Window &windowOf(std::string_view service);
 
     double m_ratio;
     double m_slack;
--- a/src/coordination/entry/rolloutcontroller.cpp
+++ b/src/coordination/entry/rolloutcontroller.cpp
@@ -51,12 +51,12 @@
 /** Time without requests at the other versions before the order is done: several report intervals. */
 constexpr state::Duration IdleBeforeDone = std::chrono::milliseconds(600);
 
-void add(VersionCounts &counts, const VersionShare &share)
+VersionCounts countsOf(const VersionShare &share)
 {
-    counts.dispatched += share.dispatched;
-    counts.good += share.good;
-    counts.bad += share.bad;
-    counts.latencyRatioSum += share.latencyRatioSum;
+    return { static_cast<double>(share.dispatched),
+             static_cast<double>(share.good),
+             static_cast<double>(share.bad),
+             share.latencyRatioSum };
 }
 
 void add(VersionCounts &counts, const VersionCounts &other)
@@ -210,7 +210,7 @@
                 continue;
             }
             RouteCounts &counts = byRoute[share.route];
-            add(share.version == version ? counts.target : counts.others, share);
+            add(share.version == version ? counts.target : counts.others, countsOf(share));
         }
     }
     std::vector<RouteCounts> result;
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -301,12 +301,18 @@
     m_targets.misdirected(target);
 }
 
-void Scheduler::targetsChanged(state::Time now)
+void Scheduler::targetsChanged()
 {
-    m_targets.expire(now);
     m_peers.recount(m_targets);
 }
 
+void Scheduler::expireTargets(state::Time now)
+{
+    if (m_targets.expire(now)) {
+        targetsChanged();
+    }
+}
+
 void Scheduler::fillReport(PeerReport &report, state::Time now)
 {
     for (const TargetLoad *target : m_targets.all()) {
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -120,7 +120,10 @@
     void misdirected(std::string_view target);
 
     /** Counts the load at targets again after discovery changed them. */
-    void targetsChanged(state::Time now);
+    void targetsChanged();
+
+    /** Drops targets whose entries lapsed with the store and did not come back. */
+    void expireTargets(state::Time now);
 
     /** Returns the load part of the report to the peers. */
     void fillReport(PeerReport &report, state::Time now);
--- a/src/coordination/entry/targetload.h
+++ b/src/coordination/entry/targetload.h
@@ -14,7 +14,6 @@
     bool model = false; /**< runs on a model engine */
     double promptTokens = 0;
     double events = 0; /**< expected events of its stream */
-    double plainMs = 0; /**< expected time on a plain service, in milliseconds */
 };
 
 /** How an attempt at a target ended. */
--- a/src/coordination/entry/targettable.cpp
+++ b/src/coordination/entry/targettable.cpp
@@ -11,7 +11,7 @@
 
 } // namespace
 
-void TargetTable::listed(const state::entry::TargetEntry &entry, state::Time)
+void TargetTable::listed(const state::entry::TargetEntry &entry)
 {
     Item &item = m_targets[entry.id];
     item.dropAt.reset();
@@ -56,7 +56,7 @@
     }
 }
 
-void TargetTable::expire(state::Time now)
+bool TargetTable::expire(state::Time now)
 {
     const auto count = std::erase_if(m_targets, [now](const auto &entry) {
         return entry.second.dropAt && *entry.second.dropAt <= now;
@@ -64,6 +64,7 @@
     if (count > 0) {
         rebuildIndex();
     }
+    return count > 0;
 }
 
 TargetLoad *TargetTable::find(std::string_view id)
--- a/src/coordination/entry/targettable.h
+++ b/src/coordination/entry/targettable.h
@@ -24,7 +24,7 @@
 {
 public:
     /** Adds or updates a target. An entry with a new start time is a new incarnation and replaces the old one. */
-    void listed(const state::entry::TargetEntry &entry, state::Time now);
+    void listed(const state::entry::TargetEntry &entry);
 
     /** The entry of @p id was removed; @p storeWasAway tells whether the store has just come back. */
     void removed(std::string_view id, bool storeWasAway, state::Time now);
@@ -32,8 +32,8 @@
     /** A complete list was read: entries that are not in @p ids are removed. */
     void retainOnly(const std::vector<std::string> &ids, bool storeWasAway, state::Time now);
 
-    /** Drops the entries whose grace has passed. */
-    void expire(state::Time now);
+    /** Drops the entries whose grace has passed; returns whether there were any. */
+    bool expire(state::Time now);
 
     /** Returns the target with @p id; nullptr if there is none. */
     TargetLoad *find(std::string_view id);
--- a/src/coordination/entry/waitingqueue.cpp
+++ b/src/coordination/entry/waitingqueue.cpp
@@ -37,25 +37,21 @@
     while (position != queue.begin() && std::prev(position)->onTimeBy > request.onTimeBy) {
         --position;
     }
+    m_queueOf[request.id] = &queue;
     queue.insert(position, std::move(request));
-    ++m_size;
 }
 
 bool WaitingQueue::remove(std::uint64_t id)
 {
-    for (auto &[service, routes] : m_services) {
-        for (auto &[route, queue] : routes) {
-            const auto found = std::find_if(queue.begin(), queue.end(), [id](const WaitingRequest &request) {
-                return request.id == id;
-            });
-            if (found != queue.end()) {
-                queue.erase(found);
-                --m_size;
-                return true;
-            }
-        }
+    const auto found = m_queueOf.find(id);
+    if (found == m_queueOf.end()) {
+        return false;
     }
-    return false;
+    std::erase_if(*found->second, [id](const WaitingRequest &request) {
+        return request.id == id;
+    });
+    m_queueOf.erase(found);
+    return true;
 }
 
 std::vector<WaitingRequest> WaitingQueue::takeExpired(state::Time now)
@@ -70,7 +66,9 @@
             queue.erase(end, queue.end());
         }
     }
-    m_size -= expired.size();
+    for (const auto &request : expired) {
+        m_queueOf.erase(request.id);
+    }
     return expired;
 }
 
--- a/src/coordination/entry/waitingqueue.h
+++ b/src/coordination/entry/waitingqueue.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace sapphirecove::coordination::entry {
@@ -68,14 +69,15 @@
 
     std::size_t size() const
     {
-        return m_size;
+        return m_queueOf.size();
     }
 
 private:
-    using RouteQueues = std::map<std::string, std::deque<WaitingRequest>, std::less<>>;
+    using RouteQueue = std::deque<WaitingRequest>;
+    using RouteQueues = std::map<std::string, RouteQueue, std::less<>>;
 
     std::map<std::string, RouteQueues, std::less<>> m_services;
-    std::size_t m_size = 0;
+    std::unordered_map<std::uint64_t, RouteQueue *> m_queueOf; /**< by id; nodes of m_services keep their address */
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/src/coordination/retrybudget.h
+++ b/src/coordination/retrybudget.h
@@ -1,15 +1,16 @@
 #pragma once
 
+#include "coordination/slidingcount.h"
 #include "state/time.h"
 
-#include <deque>
-
 namespace sapphirecove::coordination {
 
 /** Bounds second attempts after refused connections to a share of the recent requests. */
 class RetryBudget
 {
 public:
+    RetryBudget();
+
     /** Counts a first attempt. */
     void recordRequest(state::Time now);
 
@@ -17,10 +18,8 @@
     bool take(state::Time now);
 
 private:
-    void expire(state::Time now);
-
-    std::deque<state::Time> m_requests;
-    std::deque<state::Time> m_retries;
+    SlidingCount m_requests;
+    SlidingCount m_retries;
 };
 
 } // namespace sapphirecove::coordination
--- /dev/null
+++ b/src/coordination/slidingcount.cpp
@@ -0,0 +1,18 @@
+#include "coordination/slidingcount.h"
+
+namespace sapphirecove::coordination {
+
+void SlidingCount::add(state::Time now)
+{
+    m_events.push_back(now);
+}
+
+std::size_t SlidingCount::count(state::Time now)
+{
+    while (!m_events.empty() && m_events.front() < now - m_span) {
+        m_events.pop_front();
+    }
+    return m_events.size();
+}
+
+} // namespace sapphirecove::coordination
--- a/src/state/entry/bounds.h
+++ b/src/state/entry/bounds.h
@@ -7,7 +7,6 @@
 /** Bounds that the deployment sets for entry hosts. The defaults hold where its settings name none. */
 struct Bounds
 {
-    Duration drain = std::chrono::milliseconds(2500); /**< from a target's leaving to its last new request */
     Duration shutdownGrace = std::chrono::seconds(8); /**< from SIGTERM to SIGKILL */
     bool strictRevocation = true;
     Duration revocation = std::chrono::seconds(5); /**< from a key's removal to its last use */
--- a/src/state/entry/routing.h
+++ b/src/state/entry/routing.h
@@ -54,7 +54,6 @@
 struct Service
 {
     std::string name;
-    std::string healthPath;
     std::uint32_t maxConnections = 0; /**< connections that one target accepts from all hosts together */
     bool modelEngine = false;
 };
--- a/src/transport/entry/calladmission.cpp
+++ b/src/transport/entry/calladmission.cpp
@@ -91,7 +91,7 @@
         return refusal;
     }
     chooseService();
-    return checkQuota();
+    return std::nullopt;
 }
 
 /** Refuses while the configuration may be so old that a key or route in it has been taken away. */
@@ -140,13 +140,14 @@
     return std::nullopt;
 }
 
-std::optional<Response> CallAdmission::checkQuota()
+std::optional<Response> CallAdmission::chargeQuota()
 {
-    if (m_call.customer.empty()) {
+    if (m_charged || m_call.customer.empty()) {
         return std::nullopt;
     }
     const auto retryAfter = m_context.scheduler.quotas().admit(m_call.customer, m_call.cost, m_context.now());
     if (!retryAfter) {
+        m_charged = true;
         return std::nullopt;
     }
     logEvent("quota_exceeded",
--- a/src/transport/entry/calladmission.h
+++ b/src/transport/entry/calladmission.h
@@ -22,7 +22,7 @@
     state::Time deadline{}; /**< end of the route's timeout or of the caller's time */
 };
 
-/** Checks one request against the configuration in force, the customer's quota and the state of the host. */
+/** Checks one request against the configuration in force, the state of the host and the customer's quota. */
 class CallAdmission
 {
 public:
@@ -32,17 +32,20 @@
     /** Returns the refusal, or nothing if the request may be served. */
     std::optional<Response> check();
 
+    /** Charges the customer's quota, once. Returns the refusal if the quota does not permit the request. */
+    std::optional<Response> chargeQuota();
+
 private:
     std::optional<Response> checkConfiguration() const;
     std::optional<Response> checkStopping() const;
     std::optional<Response> checkCustomer();
-    std::optional<Response> checkQuota();
     void chooseService();
 
     ServingContext &m_context;
     const Request &m_request;
     state::Time m_arrived;
     AdmittedCall &m_call;
+    bool m_charged = false;
 };
 
 } // namespace sapphirecove::transport::entry
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -185,7 +185,7 @@
         }
     }
     checkPeers(now);
-    m_scheduler->targetsChanged(now);
+    m_scheduler->expireTargets(now);
     m_context.pool.expire(now);
     if (m_scheduler->waiting() > 0) {
         runDecisions();
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/exchange.h"
 
+#include "coordination/entry/connectionlimit.h"
 #include "transport/entry/format.h"
 #include "transport/log.h"
 
@@ -77,6 +78,7 @@
     , m_caller(caller)
     , m_request(std::move(request))
     , m_arrived(arrived)
+    , m_admission(context, m_request, arrived, m_admitted)
     , m_wake(context.io)
 {
 }
@@ -88,8 +90,7 @@
 
 asio::awaitable<bool> Exchange::run()
 {
-    CallAdmission admission(m_context, m_request, m_arrived, m_admitted);
-    if (auto refusal = admission.check()) {
+    if (auto refusal = m_admission.check()) {
         co_return co_await writeAnswer(std::move(*refusal));
     }
     co_return co_await serve();
@@ -159,6 +160,11 @@
     request.excludedTargets = m_triedTargets;
     m_decision = m_context.scheduler.enqueue(request, now);
     if (!m_decision) {
+        // Only now, so that a refusal for overload costs the customer nothing.
+        if (auto refusal = m_admission.chargeQuota()) {
+            m_context.scheduler.withdraw(m_id);
+            co_return refusal;
+        }
         m_context.waiting[m_id] = this;
         m_context.runDecisions();
     }
@@ -226,8 +232,7 @@
     fields.lastEventId = m_lastEventId ? m_lastEventId : m_admitted.head.lastEventId;
     m_context.codec.prepareForward(request, fields);
     request.prepare_payload();
-    m_attempt = std::make_unique<TargetAttempt>(
-        m_context, target, protocol::Endpoint{ entry.address, entry.port }, silenceLimits());
+    m_attempt = std::make_unique<TargetAttempt>(m_context, attemptTarget(entry), silenceLimits());
     const bool streaming = m_admitted.route->kind == RequestKind::Streaming;
     result = co_await m_attempt->run(std::move(request), m_admitted.head.attemptId, streaming, *this);
     if (m_attempt->lastEventId()) {
@@ -255,6 +260,16 @@
     co_return result;
 }
 
+AttemptTarget Exchange::attemptTarget(const state::entry::TargetEntry &entry) const
+{
+    const state::entry::Service *service = m_admitted.table->findService(entry.service);
+    const std::uint32_t maxConnections = service == nullptr ? 0 : service->maxConnections;
+    const std::size_t hosts = m_context.scheduler.peers().liveCount() + 1;
+    return { entry.id,
+             { entry.address, entry.port },
+             coordination::entry::idleConnectionLimit(maxConnections, entry.slots, hosts) };
+}
+
 /** Silence after which the request goes elsewhere. What must not run twice waits until its time is over. */
 SilenceLimits Exchange::silenceLimits() const
 {
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -53,6 +53,7 @@
     boost::asio::awaitable<bool> writeAnswer(Response answer);
     boost::asio::awaitable<bool> finishStream();
     bool keepAlive() const;
+    AttemptTarget attemptTarget(const state::entry::TargetEntry &entry) const;
     SilenceLimits silenceLimits() const;
     void logAnswer(int status, std::string_view reason);
     bool repeatable() const
@@ -65,6 +66,7 @@
     Request m_request;
     state::Time m_arrived;
     AdmittedCall m_admitted;
+    CallAdmission m_admission;
     std::uint64_t m_id = 0;
     boost::asio::steady_timer m_wake;
     std::optional<coordination::entry::Decision> m_decision;
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -28,8 +28,13 @@
 /** Time limit of a call beyond its wait: a slow store answers within some hundred milliseconds. */
 constexpr state::Duration CallLimit = std::chrono::milliseconds(800);
 
-/** Interval between two reads of the targets; less than half of the time in which a leaving one must be noticed. */
-constexpr state::Duration TargetsInterval = std::chrono::milliseconds(900);
+/** Longest wait of a call for changed targets. With the call's limit it is below the time after which deployments count
+ * a host as in contact again, so that a call that was lost without an answer is replaced by then. */
+constexpr state::Duration TargetsWait = std::chrono::milliseconds(2500);
+
+/** Shortest interval between two reads of the targets, which come in swarms when many change; a fraction of the time in
+ * which a leaving one must be noticed. */
+constexpr state::Duration TargetsInterval = std::chrono::milliseconds(400);
 
 /** Pauses after failed calls: doubled from the shortest to the longest. */
 constexpr state::Duration MinPause = std::chrono::milliseconds(100);
@@ -112,7 +117,9 @@
 {
     for (;;) {
         const bool complete = !m_targets.next.has_value();
-        const StorePage page = co_await read(StoreTopic::Targets, m_targets, state::Duration::zero());
+        // The first call after a failure does not wait, so that lapsed entries are noticed at once.
+        const state::Duration wait = m_targets.away ? state::Duration::zero() : TargetsWait;
+        const StorePage page = co_await read(StoreTopic::Targets, m_targets, wait);
         if (page.failure) {
             co_await pause(m_targets.pause);
             continue;
@@ -438,7 +445,7 @@
                                { "version", entry.softwareVersion },
                                { "state", entry.draining ? "draining" : "ready" } });
                 }
-                targets.listed(entry, now);
+                targets.listed(entry);
                 listed.push_back(entry.id);
                 return {};
             },
@@ -451,7 +458,7 @@
     if (complete) {
         targets.retainOnly(listed, storeWasAway, now);
     }
-    m_context.scheduler.targetsChanged(now);
+    m_context.scheduler.targetsChanged();
     m_context.runDecisions();
 }
 
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -43,13 +43,9 @@
 
 } // namespace
 
-TargetAttempt::TargetAttempt(ServingContext &context,
-                             std::string target,
-                             const protocol::Endpoint &endpoint,
-                             SilenceLimits limits)
+TargetAttempt::TargetAttempt(ServingContext &context, AttemptTarget target, SilenceLimits limits)
     : m_context(context)
     , m_target(std::move(target))
-    , m_endpoint(endpoint)
     , m_limits(limits)
 {
 }
@@ -92,7 +88,7 @@
 
 asio::awaitable<bool> TargetAttempt::connect(AttemptResult &result)
 {
-    m_connection = m_context.pool.take(m_target, m_context.now());
+    m_connection = m_context.pool.take(m_target.id, m_context.now());
     if (m_connection) {
         co_return true;
     }
@@ -100,8 +96,8 @@
     m_connection = std::make_unique<TargetConnection>(m_context.io.get_executor());
     expectBytesWithin(ConnectLimit);
     boost::system::error_code error;
-    const auto ip = asio::ip::make_address(m_endpoint.address, error);
-    const asio::ip::tcp::endpoint endpoint(ip, m_endpoint.port);
+    const auto ip = asio::ip::make_address(m_target.endpoint.address, error);
+    const asio::ip::tcp::endpoint endpoint(ip, m_target.endpoint.port);
     co_await m_connection->socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error || m_aborted) {
         result.outcome = AttemptOutcome::Unreachable;
@@ -301,7 +297,7 @@
         return;
     }
     m_connection->idleLimit = idleLimitOf(head, DefaultIdleLimit);
-    m_context.pool.give(m_target, std::move(m_connection), m_context.now());
+    m_context.pool.give(m_target.id, std::move(m_connection), m_target.idleConnections, m_context.now());
 }
 
 void TargetAttempt::expectBytesWithin(state::Duration limit)
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -47,14 +47,19 @@
     state::Duration betweenBytes{}; /**< in an event stream */
 };
 
+/** Target of an attempt. */
+struct AttemptTarget
+{
+    std::string id; /**< of the incarnation */
+    protocol::Endpoint endpoint;
+    std::size_t idleConnections = 1; /**< that this host keeps to it */
+};
+
 /** One attempt of a request at one target: connects, sends, and reads the answer. */
 class TargetAttempt
 {
 public:
-    TargetAttempt(ServingContext &context,
-                  std::string target,
-                  const protocol::Endpoint &endpoint,
-                  SilenceLimits limits);
+    TargetAttempt(ServingContext &context, AttemptTarget target, SilenceLimits limits);
 
     /**
      * Sends @p request, which belongs to @p attemptId, and reads its answer. If @p streaming, an event stream goes to
@@ -95,8 +100,7 @@
     void expectBytesWithin(state::Duration limit);
 
     ServingContext &m_context;
-    std::string m_target;
-    protocol::Endpoint m_endpoint;
+    AttemptTarget m_target;
     SilenceLimits m_limits;
     std::unique_ptr<TargetConnection> m_connection;
     std::optional<HeadParser> m_parser;
--- a/src/transport/entry/targetpool.cpp
+++ b/src/transport/entry/targetpool.cpp
@@ -12,9 +12,6 @@
 /** A connection is not used again this long before its target may close it: a request could cross the close. */
 constexpr state::Duration CloseMargin = std::chrono::milliseconds(1000);
 
-/** Idle connections that are kept for one target; beyond its slots they serve no purpose. */
-constexpr std::size_t MaxIdlePerTarget = 32;
-
 bool expired(const TargetConnection &connection, state::Time now)
 {
     return now - connection.idleSince + CloseMargin > connection.idleLimit;
@@ -39,11 +36,14 @@
     return nullptr;
 }
 
-void TargetPool::give(const std::string &target, std::unique_ptr<TargetConnection> connection, state::Time now)
+void TargetPool::give(const std::string &target,
+                      std::unique_ptr<TargetConnection> connection,
+                      std::size_t limit,
+                      state::Time now)
 {
     connection->idleSince = now;
     auto &idle = m_idle[target];
-    if (idle.size() < MaxIdlePerTarget && !expired(*connection, now)) {
+    if (idle.size() < limit && !expired(*connection, now)) {
         idle.push_back(std::move(connection));
     }
 }
--- a/src/transport/entry/targetpool.h
+++ b/src/transport/entry/targetpool.h
@@ -37,8 +37,9 @@
     /** Returns an idle connection to the incarnation @p target that is still open; nullptr if there is none. */
     std::unique_ptr<TargetConnection> take(const std::string &target, state::Time now);
 
-    /** Keeps @p connection for the next request, if its target permits it. */
-    void give(const std::string &target, std::unique_ptr<TargetConnection> connection, state::Time now);
+    /** Keeps @p connection for the next request, if its target permits it and fewer than @p limit are kept for it. */
+    void
+    give(const std::string &target, std::unique_ptr<TargetConnection> connection, std::size_t limit, state::Time now);
 
     /** Closes connections that are idle for too long. */
     void expire(state::Time now);
--- a/tests/coordination/entry/requests.h
+++ b/tests/coordination/entry/requests.h
@@ -62,7 +62,7 @@
 {
     TargetLoad *load = scheduler.targets().find(target);
     constexpr double Tokens = 10000;
-    const Work work{ true, Tokens, 40, 0 };
+    const Work work{ true, Tokens, 40 };
     const auto milliseconds = [](double value) {
         return state::durationFromSeconds(value / 1000);
     };
--- a/tests/coordination/entry/testdiscovery.cpp
+++ b/tests/coordination/entry/testdiscovery.cpp
@@ -10,11 +10,11 @@
 TEST_CASE("an entry that lapsed while the store was away may return within two seconds", "[entry][targettable]")
 {
     TargetTable table;
-    table.listed(makeTarget("a"), Start);
-    table.listed(makeTarget("b"), Start);
+    table.listed(makeTarget("a"));
+    table.listed(makeTarget("b"));
     table.removed("a", true, Start);
     table.removed("b", true, Start);
-    table.listed(makeTarget("a"), Start + seconds(1));
+    table.listed(makeTarget("a"));
     table.expire(Start + milliseconds(1999));
     CHECK(table.find("b") != nullptr);
     table.expire(Start + milliseconds(2000));
@@ -25,10 +25,10 @@
 TEST_CASE("a removed or leaving target gets nothing new at once", "[entry][targettable]")
 {
     TargetTable table;
-    table.listed(makeTarget("a"), Start);
+    table.listed(makeTarget("a"));
     auto leaving = makeTarget("b");
     leaving.draining = true;
-    table.listed(leaving, Start);
+    table.listed(leaving);
     CHECK(table.accepts(*table.find("a")));
     CHECK_FALSE(table.accepts(*table.find("b")));
     table.removed("a", false, Start);
@@ -40,14 +40,14 @@
 TEST_CASE("a target that starts again under its id has no past", "[entry][targettable]")
 {
     TargetTable table;
-    table.listed(makeTarget("a"), Start);
-    table.find("a")->dispatched({ true, 100, 10, 0 });
+    table.listed(makeTarget("a"));
+    table.find("a")->dispatched({ true, 100, 10 });
     const std::uint32_t before = table.find("a")->hash();
     table.misdirected("a");
     CHECK_FALSE(table.accepts(*table.find("a")));
     auto again = makeTarget("a");
     again.startedUnixMs = 2000;
-    table.listed(again, Start);
+    table.listed(again);
     CHECK(table.find("a")->running() == 0);
     CHECK(table.find("a")->hash() != before);
     CHECK(table.accepts(*table.find("a")));
@@ -56,8 +56,8 @@
 TEST_CASE("a complete list drops what it does not name", "[entry][targettable]")
 {
     TargetTable table;
-    table.listed(makeTarget("a"), Start);
-    table.listed(makeTarget("b"), Start);
+    table.listed(makeTarget("a"));
+    table.listed(makeTarget("b"));
     table.retainOnly({ "b" }, false, Start);
     CHECK(table.find("a") == nullptr);
     CHECK(table.find("b") != nullptr);
@@ -66,7 +66,7 @@
 TEST_CASE("a peer's load counts until it falls silent", "[entry][peertable]")
 {
     TargetTable targets;
-    targets.listed(makeTarget("a"), Start);
+    targets.listed(makeTarget("a"));
     PeerTable peers;
     PeerReport report;
     report.host = "host-2";
@@ -104,7 +104,7 @@
     }
     SECTION("load is counted again after the set of targets changed")
     {
-        targets.listed(makeTarget("b"), Start);
+        targets.listed(makeTarget("b"));
         peers.recount(targets);
         CHECK(targets.find("a")->running() == 3);
     }
--- a/tests/coordination/entry/testscheduler.cpp
+++ b/tests/coordination/entry/testscheduler.cpp
@@ -30,7 +30,7 @@
 TEST_CASE("requests wait for a slot and the urgent one takes it", "[entry][scheduler]")
 {
     auto scheduler = makeScheduler();
-    scheduler->targets().listed(makeTarget("a", 1), Start);
+    scheduler->targets().listed(makeTarget("a", 1));
     CHECK_FALSE(scheduler->enqueue(makeRequest(1, 1, 600), Start));
     CHECK(dispatchedIds(scheduler->decide(Start)) == std::vector<std::uint64_t>{ 1 });
     scheduler->enqueue(makeRequest(2, 1, 600), Start);
@@ -54,8 +54,8 @@
 TEST_CASE("a slow engine with running streams gets short prompts only", "[entry][scheduler]")
 {
     auto scheduler = makeScheduler();
-    scheduler->targets().listed(makeTarget("fast", 1), Start);
-    scheduler->targets().listed(makeTarget("slow", 12), Start);
+    scheduler->targets().listed(makeTarget("fast", 1));
+    scheduler->targets().listed(makeTarget("slow", 12));
     teachSpeed(*scheduler, "fast", FastMsPerToken, 13, Start);
     teachSpeed(*scheduler, "slow", SlowMsPerToken, 65, Start);
     scheduler->enqueue(makeRequest(1, 1, 600), Start);
@@ -72,7 +72,7 @@
 TEST_CASE("a clump of the most urgent requests is not taken for a long queue", "[entry][scheduler]")
 {
     auto scheduler = makeScheduler();
-    scheduler->targets().listed(makeTarget("a", 10), Start);
+    scheduler->targets().listed(makeTarget("a", 10));
     std::uint64_t id = 0;
     // Ten queries a second were served lately, and one draft.
     for (int i = 0; i < 15; ++i) {
@@ -98,7 +98,7 @@
 TEST_CASE("a queue that would outlast the caller's patience refuses at the door", "[entry][scheduler]")
 {
     auto scheduler = makeScheduler();
-    scheduler->targets().listed(makeTarget("a", 1), Start);
+    scheduler->targets().listed(makeTarget("a", 1));
     std::uint64_t id = 0;
     scheduler->enqueue(makeRequest(++id, 1, 600), Start);
     REQUIRE(scheduler->decide(Start).size() == 1);
@@ -126,7 +126,7 @@
 TEST_CASE("free slots are left to peers that hold more urgent requests", "[entry][scheduler]")
 {
     auto scheduler = makeScheduler();
-    scheduler->targets().listed(makeTarget("a", 2), Start);
+    scheduler->targets().listed(makeTarget("a", 2));
     PeerReport report;
     report.host = "host-2";
     report.incarnation = 1;
@@ -146,8 +146,8 @@
     auto scheduler = makeScheduler();
     auto far = makeTarget("far", 1);
     far.failureDomain = "adum";
-    scheduler->targets().listed(far, Start);
-    scheduler->targets().listed(makeTarget("near", 1), Start);
+    scheduler->targets().listed(far);
+    scheduler->targets().listed(makeTarget("near", 1));
     scheduler->enqueue(makeRequest(1, 1, 600), Start);
     scheduler->enqueue(makeRequest(2, 1, 600), Start);
     const auto decisions = scheduler->decide(Start);
@@ -159,7 +159,7 @@
 TEST_CASE("a dead target is left alone and tried again with one request", "[entry][scheduler]")
 {
     auto scheduler = makeScheduler();
-    scheduler->targets().listed(makeTarget("a", 4), Start);
+    scheduler->targets().listed(makeTarget("a", 4));
     scheduler->enqueue(makeRequest(1, 0, 600), Start);
     REQUIRE(scheduler->decide(Start).size() == 1);
     scheduler->finished(1, AttemptOutcome::Unreachable, 0, Start);
@@ -175,12 +175,12 @@
 TEST_CASE("a request never returns to a target that it has tried", "[entry][scheduler]")
 {
     auto scheduler = makeScheduler();
-    scheduler->targets().listed(makeTarget("a"), Start);
+    scheduler->targets().listed(makeTarget("a"));
     auto request = makeRequest(1, 0, 600);
     request.excludedTargets = { "a" };
     scheduler->enqueue(request, Start);
     CHECK(scheduler->decide(Start).empty());
-    scheduler->targets().listed(makeTarget("b"), Start);
+    scheduler->targets().listed(makeTarget("b"));
     const auto decisions = scheduler->decide(Start);
     REQUIRE(decisions.size() == 1);
     CHECK(decisions.front().target == "b");
@@ -190,12 +190,12 @@
 TEST_CASE("a request that comes back from a failed attempt may wait for another target", "[entry][scheduler]")
 {
     auto scheduler = makeScheduler();
-    scheduler->targets().listed(makeTarget("a", 1), Start);
+    scheduler->targets().listed(makeTarget("a", 1));
     scheduler->enqueue(makeRequest(1, 0, 600), Start);
     scheduler->decide(Start);
     const state::Time later = Start + milliseconds(1600);
     scheduler->finished(1, AttemptOutcome::Stalled, 0, later);
-    scheduler->targets().listed(makeTarget("b", 1), later);
+    scheduler->targets().listed(makeTarget("b", 1));
     scheduler->enqueue(makeRequest(2, 1, 600, later), later);
     scheduler->decide(later); // Takes one of the two targets.
     scheduler->enqueue(makeRequest(3, 1, 600, later), later);
@@ -204,6 +204,6 @@
     again.excludedTargets = { "a" };
     CHECK_FALSE(scheduler->enqueue(again, later));
     CHECK(scheduler->decide(later + milliseconds(300)).empty());
-    scheduler->targets().listed(makeTarget("c", 1), later);
+    scheduler->targets().listed(makeTarget("c", 1));
     CHECK(dispatchedIds(scheduler->decide(later + milliseconds(300))) == std::vector<std::uint64_t>{ 4 });
 }
--- a/tests/coordination/entry/testtargetload.cpp
+++ b/tests/coordination/entry/testtargetload.cpp
@@ -10,15 +10,15 @@
 TEST_CASE("unread prompts of all hosts delay the first event", "[entry][targetload]")
 {
     TargetLoad load(makeTarget("a"));
-    const Work small{ true, 1000, 50, 0 };
+    const Work small{ true, 1000, 50 };
     const double alone = load.expectedFirstMs(small);
-    load.dispatched({ true, 20000, 50, 0 });
+    load.dispatched({ true, 20000, 50 });
     load.addRemote(2, 10000);
     CHECK(load.running() == 3);
     CHECK(load.pendingPromptTokens() == 30000);
     CHECK(load.expectedFirstMs(small) > 10 * alone);
     load.addRemote(-2, -10000);
-    load.finished({ true, 20000, 50, 0 }, false, AttemptOutcome::Abandoned, Start);
+    load.finished({ true, 20000, 50 }, false, AttemptOutcome::Abandoned, Start);
     CHECK(load.running() == 0);
     CHECK(load.expectedFirstMs(small) == Approx(alone));
 }
@@ -26,7 +26,7 @@
 TEST_CASE("an engine that turns slow is known after a few streams", "[entry][targetload]")
 {
     TargetLoad load(makeTarget("a"));
-    const Work work{ true, 5000, 50, 0 };
+    const Work work{ true, 5000, 50 };
     const auto serve = [&](double slowness) {
         load.dispatched(work);
         load.firstEvent(work, 5000, milliseconds(static_cast<int>(20 + 50 * slowness)));
@@ -44,7 +44,7 @@
 TEST_CASE("an engine that fails part of its requests is avoided but not ejected", "[entry][targetload]")
 {
     TargetLoad load(makeTarget("a"));
-    const Work work{ true, 500, 50, 0 };
+    const Work work{ true, 500, 50 };
     for (int i = 0; i < 10; ++i) {
         load.dispatched(work);
         load.finished(work, true, AttemptOutcome::ServerError, Start);
@@ -56,7 +56,7 @@
 TEST_CASE("connections that break eject a target for a bounded time", "[entry][targetload]")
 {
     TargetLoad load(makeTarget("a"));
-    const Work work{ true, 500, 50, 0 };
+    const Work work{ true, 500, 50 };
     state::Time now = Start;
     for (int i = 0; i < 20; ++i) {
         load.dispatched(work);
@@ -73,7 +73,7 @@
 TEST_CASE("what says nothing about a target leaves its health alone", "[entry][targetload]")
 {
     TargetLoad load(makeTarget("a"));
-    const Work work{ true, 500, 50, 0 };
+    const Work work{ true, 500, 50 };
     for (const auto outcome : { AttemptOutcome::Abandoned, AttemptOutcome::NotExecuted }) {
         for (int i = 0; i < 10; ++i) {
             load.dispatched(work);
--- a/tests/transport/entry/entryfixture.h
+++ b/tests/transport/entry/entryfixture.h
@@ -61,6 +61,8 @@
 constexpr std::string_view OneRunStreamPath = "/one-run-stream/";
 constexpr std::string_view LookupPath = "/lookup/";
 constexpr std::string_view CommitPath = "/commit/";
+constexpr std::string_view NoTargetPath = "/no-target/"; /**< its service has no targets */
+constexpr std::string_view SmallQuotaKey = "k2"; /**< of a customer with a request a second */
 constexpr std::string_view Seal = "X-Server-Seal: s1\r\n";
 
 /** Entry host on the loopback address, with a mocked store and scripted targets. */
@@ -106,17 +108,22 @@
     EntryFixture &operator=(const EntryFixture &) = delete;
 
     /** Returns the head of a request with a key. */
-    static std::string request(std::string_view path, std::string_view id, std::string_view method = "GET")
+    static std::string
+    request(std::string_view path, std::string_view id, std::string_view method = "GET", std::string_view key = "k1")
     {
-        return std::string(method) + ' ' + std::string(path) + "x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: "
-            + std::string(id) + "\r\nX-Deadline-Ms: 3000\r\nX-Api-Key: k1\r\nContent-Length: 0\r\n";
+        return std::string(method) + ' ' + std::string(path)
+            + "x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + std::string(id)
+            + "\r\nX-Deadline-Ms: 3000\r\nX-Api-Key: " + std::string(key) + "\r\nContent-Length: 0\r\n";
     }
 
     /** Sends a request on a connection of its own and returns everything until the connection ends. */
-    std::string call(std::string_view path, std::string_view id = "a1", std::string_view method = "GET")
+    std::string call(std::string_view path,
+                     std::string_view id = "a1",
+                     std::string_view method = "GET",
+                     std::string_view key = "k1")
     {
         BlockingConnection connection(m_settings.callers.port);
-        connection.write(request(path, id, method) + "Connection: close\r\n\r\n");
+        connection.write(request(path, id, method, key) + "Connection: close\r\n\r\n");
         return connection.readToEnd();
     }
 
@@ -197,16 +204,22 @@
 
     static std::string configurationDocument()
     {
-        const auto route = [](std::string_view path, std::string_view kind, int attempts, bool resumable) {
+        const auto route = [](std::string_view path,
+                              std::string_view kind,
+                              int attempts,
+                              bool resumable,
+                              std::string_view service = "s") {
             return R"({"name":"r)" + std::string(path) + R"(","host":"a.example","pathPrefix":")" + std::string(path)
                 + R"(","kind":")" + std::string(kind) + R"(","timeoutMs":1500,"targetLatencyMs":150,"priority":0,)"
-                + R"("service":"s","maxAttempts":)" + std::to_string(attempts) + R"(,"public":false,"resumable":)"
-                + (resumable ? "true" : "false") + R"(,"gapAimMs":100})";
+                + R"("service":")" + std::string(service) + R"(","maxAttempts":)" + std::to_string(attempts)
+                + R"(,"public":false,"resumable":)" + (resumable ? "true" : "false") + R"(,"gapAimMs":100})";
         };
         return R"({"version":1,"routes":[)" + route(StreamPath, "streaming", 2, true) + ','
             + route(OneRunStreamPath, "streaming", 1, false) + ',' + route(LookupPath, "idempotent", 2, false) + ','
-            + route(CommitPath, "non_idempotent", 1, false)
-            + R"(],"services":[{"name":"s"}],"tenants":[{"name":"t1","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})";
+            + route(CommitPath, "non_idempotent", 1, false) + ',' + route(NoTargetPath, "idempotent", 2, false, "none")
+            + R"(],"services":[{"name":"s"},{"name":"none"}],"tenants":[)"
+            + R"({"name":"t1","apiKeys":["k1"],"ratePerS":1000,"burst":1000},)" + R"({"name":"t2","apiKeys":[")"
+            + std::string(SmallQuotaKey) + R"("],"ratePerS":1,"burst":1}]})";
     }
 
     static std::string targetDocument(std::uint16_t port)
--- a/tests/transport/entry/testentryhost.cpp
+++ b/tests/transport/entry/testentryhost.cpp
@@ -267,3 +267,17 @@
         CHECK(contains(fixture.call(LookupPath), " 200 "));
     }
 }
+
+// Overload: a customer whose requests the host turns away still has its quota for those that can run.
+TEST_CASE("a refusal by the scheduler costs the customer no quota", "[entry][host]")
+{
+    ScriptedTarget target([](int, const std::string &, BlockingConnection &connection) {
+        connection.write(whole("a2", "served"));
+    });
+    EntryFixture fixture({ target.port() });
+    constexpr int moreThanQuota = 20;
+    for (int i = 0; i < moreThanQuota; ++i) {
+        REQUIRE(contains(fixture.call(NoTargetPath, "a1", "GET", SmallQuotaKey), " 503 "));
+    }
+    CHECK(contains(fixture.call(LookupPath, "a2", "GET", SmallQuotaKey), "\r\n\r\nserved"));
+}
