Deal slots out to hosts where reports are late

Cause: with 65 hosts reports are a third of a second late. Once full, hosts left slots to each other. Change: SlotPolicy with ReportedSlots (as before) and DealtSlots: a host's own slots first, others by lot among two. A service's slots are dealt if a report interval is over a fifth of its slot time and each host gets five or more.

--- a/src/coordination/entry/peertable.cpp
+++ b/src/coordination/entry/peertable.cpp
@@ -5,6 +5,16 @@
 
 namespace sapphirecove::coordination::entry {
 
+namespace {
+
+/** Shortest interval between two reports to a peer: a small part of the time that a request holds a slot. */
+constexpr state::Duration MinReportInterval = std::chrono::milliseconds(50);
+
+/** Reports a second that a host sends in all; intervals grow with the number of peers beyond it. */
+constexpr double MaxReportsPerSecond = 200;
+
+} // namespace
+
 void PeerTable::introduce(const std::string &host, const std::string &address, std::uint16_t port, state::Time now)
 {
     Peer &peer = m_peers[host];
@@ -77,6 +87,17 @@
     return sum;
 }
 
+std::uint32_t PeerTable::waiting(std::uint32_t service) const
+{
+    return waitingAbove(service, -1);
+}
+
+state::Duration PeerTable::reportInterval() const
+{
+    return std::max(MinReportInterval,
+                    state::durationFromSeconds(static_cast<double>(m_peers.size()) / MaxReportsPerSecond));
+}
+
 std::size_t PeerTable::liveCount() const
 {
     std::size_t live = 0;
--- a/src/coordination/entry/peertable.h
+++ b/src/coordination/entry/peertable.h
@@ -49,6 +49,12 @@
     /** Returns how many requests of @p service wait at live peers with a rank above @p rank. */
     std::uint32_t waitingAbove(std::uint32_t service, double rank) const;
 
+    /** Returns how many requests of @p service wait at live peers. */
+    std::uint32_t waiting(std::uint32_t service) const;
+
+    /** Returns the interval at which hosts report what changes; it grows with their number. */
+    state::Duration reportInterval() const;
+
     /** Returns how many live peers there are. */
     std::size_t liveCount() const;
 
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -21,6 +21,15 @@
 /** Dispatches a second below which a route's rate counts as this: one in the time that callers of a stream wait. */
 constexpr double MinDispatchRate = 0.3;
 
+/** Interval at which slots are dealt again: a fraction of the time after which a silent peer is noticed. */
+constexpr state::Duration DealInterval = std::chrono::milliseconds(200);
+
+/** Part of a service's slot time up to which reports count as fresh: few slots change hands meanwhile. */
+constexpr double FreshReportShare = 0.2;
+
+/** Own slots of a host from which on slots are dealt: with fewer, the chance of a fitting one is low. */
+constexpr double MinOwnSlots = 5;
+
 /** Expected waits after which a refused caller is told to come back: one for what waits now, one for what comes after.
  */
 constexpr int RetryAfterWaits = 2;
@@ -66,7 +75,8 @@
     : m_quotas(bounds)
     , m_repeats(bounds)
     , m_rollouts(bounds)
-    , m_choice(std::make_unique<ExpectedTimeChoice>(std::move(location)))
+    , m_location(std::move(location))
+    , m_choice(std::make_unique<ExpectedTimeChoice>(m_location))
 {
 }
 
@@ -116,6 +126,7 @@
     for (const auto &expired : m_queue.takeExpired(now)) {
         decisions.push_back(refuse(expired, RefusalReason::Expired, now));
     }
+    dealSlots(now);
     for (const std::string_view service : m_queue.services()) {
         decideService(service, now, decisions);
     }
@@ -124,31 +135,80 @@
 
 void Scheduler::decideService(std::string_view service, state::Time now, std::vector<Decision> &decisions)
 {
-    const std::uint32_t serviceHash = shortHash(service);
     const std::vector<TargetLoad *> usable = usableTargets(service, now);
-    std::int64_t freeSlots = 0;
-    for (const TargetLoad *target : usable) {
-        freeSlots += std::max<std::int64_t>(0, std::int64_t{ target->entry().slots } - target->running());
-    }
+    const SlotPolicy &policy = slotPolicy(service, usable, now);
     bool progressed = true;
-    while (progressed && freeSlots > 0) {
+    while (progressed) {
         progressed = false;
         for (const WaitingRequest *request : m_queue.candidates(service, now)) {
-            if (freeSlots <= m_peers.waitingAbove(serviceHash, WaitingQueue::rankOf(*request, now))) {
-                continue;
-            }
-            TargetLoad *target = findTarget(*request, usable, now);
+            const auto open = policy.open(fittingTargets(*request, usable, now), viewFor(*request, usable, now));
+            TargetLoad *target = m_choice->choose(open, request->work);
             if (target == nullptr) {
                 continue;
             }
             decisions.push_back(dispatch(*request, *target, now));
-            --freeSlots;
             progressed = true;
             break;
         }
     }
 }
 
+/** Deals the slots anew, if the last dealing is old: hosts and targets come and go. */
+void Scheduler::dealSlots(state::Time now)
+{
+    if (now - m_dealtAt < DealInterval) {
+        return;
+    }
+    m_dealtAt = now;
+    std::vector<DealtHost> hosts{ { m_location.host, m_location.region } };
+    for (const auto &[name, peer] : m_peers.peers()) {
+        const auto region = m_location.regionOfDomain.find(peer.report.failureDomain);
+        if (peer.live && !peer.report.stopping && region != m_location.regionOfDomain.end()) {
+            hosts.push_back({ name, region->second });
+        }
+    }
+    m_dealtSlots.deal(m_targets.all(), hosts, m_location.host, m_location.regionOfDomain);
+}
+
+/**
+ * Returns who may use which slots of @p service. With few hosts, reports are fresh and say best what is free. With many
+ * hosts they are late: slots are dealt out then, if there are enough for each host.
+ */
+const SlotPolicy &Scheduler::slotPolicy(std::string_view service, std::span<TargetLoad *const> usable, state::Time now)
+{
+    double slots = 0;
+    for (const TargetLoad *target : usable) {
+        slots += target->entry().slots;
+    }
+    const double hosts = static_cast<double>(m_peers.liveCount() + 1);
+    const state::Duration slotTime = milliseconds(m_routes.meanSlotMs(service, now));
+    const bool fresh = m_peers.reportInterval() <= state::scaled(slotTime, FreshReportShare);
+    if (fresh || slots < MinOwnSlots * hosts) {
+        return m_reportedSlots;
+    }
+    return m_dealtSlots;
+}
+
+SlotView Scheduler::viewFor(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now)
+{
+    SlotView view;
+    for (const TargetLoad *target : m_targets.ofService(request.service)) {
+        view.ownRunning += target->ownRunning();
+    }
+    for (const TargetLoad *target : usable) {
+        view.free += std::max<std::int64_t>(0, std::int64_t{ target->entry().slots } - target->running());
+    }
+    const std::uint32_t service = shortHash(request.service);
+    view.waitingAbove = m_peers.waitingAbove(service, WaitingQueue::rankOf(request, now));
+    view.waitingBelow = std::int64_t{ m_peers.waiting(service) } - view.waitingAbove;
+    // The other hosts have sent about as many as this one.
+    view.unreported = m_routes.dispatchedWithin(request.service, m_peers.reportInterval(), now)
+        * static_cast<double>(m_peers.liveCount() + 1) / static_cast<double>(std::max<std::size_t>(1, usable.size()));
+    const auto interval = now.time_since_epoch() / m_peers.reportInterval();
+    view.drawn = shortHash(m_location.host + '/' + std::to_string(request.id) + '/' + std::to_string(interval));
+    return view;
+}
+
 std::vector<TargetLoad *> Scheduler::usableTargets(std::string_view service, state::Time now) const
 {
     std::vector<TargetLoad *> usable;
@@ -171,21 +231,22 @@
     return request.pauseLimitMs <= 0 || target.expectedPauseMs(request.work) <= request.pauseLimitMs;
 }
 
-TargetLoad *
-Scheduler::findTarget(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now) const
+/** Returns the targets that @p request was not sent to yet and that serve it in time. */
+std::vector<TargetLoad *>
+Scheduler::fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now) const
 {
-    std::vector<TargetLoad *> candidates;
+    std::vector<TargetLoad *> fitting;
     for (TargetLoad *target : usable) {
         const auto &excluded = request.excludedTargets;
         const bool tried = std::find(excluded.begin(), excluded.end(), target->entry().id) != excluded.end();
         // Each dispatch changes what is open: an ejected target takes one trial request, a new version a share.
-        const bool open = target->hasRoom() && target->usable(now)
+        const bool open = target->usable(now)
             && m_rollouts.mayUse(request.service, target->entry().softwareVersion, m_peers.liveCount() + 1);
         if (open && !tried && keepsPauses(*target, request)) {
-            candidates.push_back(target);
+            fitting.push_back(target);
         }
     }
-    return m_choice->choose(candidates, request.work);
+    return fitting;
 }
 
 Decision Scheduler::dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now)
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "coordination/entry/dealtslots.h"
 #include "coordination/entry/peertable.h"
 #include "coordination/entry/quotatable.h"
 #include "coordination/entry/repeatbudget.h"
+#include "coordination/entry/reportedslots.h"
 #include "coordination/entry/rolloutcontroller.h"
 #include "coordination/entry/routestatistics.h"
 #include "coordination/entry/targetchoice.h"
@@ -64,8 +66,7 @@
  * Decides when and where the requests of this host run.
  *
  * Each host decides alone, with the load that its peers report several times a second. Requests wait here and not at
- * the targets, which admit in order of arrival, until a slot is free. A host leaves free slots to peers that hold
- * requests of a higher rank.
+ * the targets, which admit in order of arrival, until a SlotPolicy opens a slot to them.
  */
 class Scheduler
 {
@@ -157,7 +158,11 @@
     void decideService(std::string_view service, state::Time now, std::vector<Decision> &decisions);
     std::vector<TargetLoad *> usableTargets(std::string_view service, state::Time now) const;
     static bool keepsPauses(const TargetLoad &target, const WaitingRequest &request);
-    TargetLoad *findTarget(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now) const;
+    std::vector<TargetLoad *>
+    fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now) const;
+    void dealSlots(state::Time now);
+    const SlotPolicy &slotPolicy(std::string_view service, std::span<TargetLoad *const> usable, state::Time now);
+    SlotView viewFor(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now);
     Decision dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now);
     state::Duration expectedWait(const WaitingRequest &request, state::Time now);
     void countForRollout(const Attempt &attempt, const TargetLoad *target, AttemptOutcome outcome, double latencyRatio);
@@ -170,7 +175,11 @@
     RolloutController m_rollouts;
     RouteStatistics m_routes;
     WaitingQueue m_queue;
+    Location m_location;
     std::unique_ptr<TargetChoice> m_choice;
+    ReportedSlots m_reportedSlots;
+    DealtSlots m_dealtSlots;
+    state::Time m_dealtAt{};
     std::unordered_map<std::uint64_t, Attempt> m_running;
 };
 
--- a/src/coordination/entry/targetchoice.h
+++ b/src/coordination/entry/targetchoice.h
@@ -16,6 +16,7 @@
     std::string failureDomain;
     std::string region;
     std::map<std::string, std::string> regionOfDomain;
+    std::string host; /**< name of this host */
 };
 
 /** Chooses among targets that may take a request. An interface, so that policies can be compared. */
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -45,7 +45,9 @@
                                                             const TimeSource &clock,
                                                             const StoreFactory &storeFactory)
 {
-    coordination::entry::Location location{ settings.failureDomain, settings.region, settings.regionOfDomain };
+    coordination::entry::Location location{
+        settings.failureDomain, settings.region, settings.regionOfDomain, settings.hostId
+    };
     BOOST_LEAF_AUTO(scheduler, coordination::entry::Scheduler::create(settings.bounds, std::move(location)));
     std::unique_ptr<EntryHost> host(new EntryHost(settings, std::move(scheduler), codec, clock));
     if (auto bound = host->bind(storeFactory); !bound) {
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -16,8 +16,7 @@
 
 namespace {
 
-/** Shortest interval between two reports to a peer of the same region, and of another region, whose link is billed. */
-constexpr state::Duration NearInterval = std::chrono::milliseconds(50);
+/** Shortest interval between two reports to a peer of another region, whose link is billed. */
 constexpr state::Duration FarInterval = std::chrono::milliseconds(100);
 
 /** Interval of reports without news: three of them fit the time after which a peer counts as silent. */
@@ -26,9 +25,6 @@
 /** Interval of reports to a peer that has been silent. */
 constexpr state::Duration SilentInterval = std::chrono::milliseconds(1000);
 
-/** Reports a second that a host sends in all; intervals grow with the number of peers beyond it. */
-constexpr double MaxReportsPerSecond = 200;
-
 } // namespace
 
 state::Result<std::unique_ptr<PeerChannel>> PeerChannel::create(ServingContext &context)
@@ -130,16 +126,13 @@
     report.uptimeMs =
         static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started).count());
     const auto &peers = scheduler.peers().peers();
-    const auto crowd = state::durationFromSeconds(static_cast<double>(peers.size()) / MaxReportsPerSecond);
     std::erase_if(m_links, [&](const auto &entry) {
         return !peers.contains(entry.first);
     });
     for (const auto &[host, peer] : peers) {
         Link &link = m_links[host];
         const bool changed = link.content != content;
-        const state::Duration interval = !peer.live ? SilentInterval
-            : changed                               ? std::max(intervalTo(host), crowd)
-                                                    : HeartbeatInterval;
+        const state::Duration interval = !peer.live ? SilentInterval : changed ? intervalTo(host) : HeartbeatInterval;
         if (now - link.sent < interval) {
             continue;
         }
@@ -170,15 +163,16 @@
 
 state::Duration PeerChannel::intervalTo(const std::string &host) const
 {
-    const auto &peers = m_context.scheduler.peers().peers();
-    const auto found = peers.find(host);
+    const auto &peerTable = m_context.scheduler.peers();
+    const state::Duration usual = peerTable.reportInterval();
+    const auto found = peerTable.peers().find(host);
     const auto &settings = m_context.settings;
-    if (found == peers.end()) {
-        return FarInterval;
+    if (found == peerTable.peers().end()) {
+        return std::max(FarInterval, usual);
     }
     const auto region = settings.regionOfDomain.find(found->second.report.failureDomain);
     const bool near = region != settings.regionOfDomain.end() && region->second == settings.region;
-    return near ? NearInterval : FarInterval;
+    return near ? usual : std::max(FarInterval, usual);
 }
 
 } // namespace sapphirecove::transport::entry
--- a/tests/coordination/entry/requests.h
+++ b/tests/coordination/entry/requests.h
@@ -61,13 +61,13 @@
 teachSpeed(Scheduler &scheduler, const std::string &target, double msPerPromptToken, double msPerEvent, state::Time now)
 {
     TargetLoad *load = scheduler.targets().find(target);
-    constexpr double Tokens = 10000;
-    const Work work{ true, Tokens, 40 };
+    constexpr double tokens = 10000;
+    const Work work{ true, tokens, 40 };
     const auto milliseconds = [](double value) {
         return state::durationFromSeconds(value / 1000);
     };
     load->dispatched(work);
-    load->firstEvent(work, Tokens, milliseconds(20 + Tokens * msPerPromptToken));
+    load->firstEvent(work, tokens, milliseconds(20 + tokens * msPerPromptToken));
     load->streamed(41, milliseconds(40 * msPerEvent));
     load->finished(work, true, AttemptOutcome::Served, now);
 }
