--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# Runs clang-tidy over all translation units of the product, the stand-ins and the bench, or over the files given.
+# Runs clang-tidy over all translation units of the product, its platform adapter, the stand-ins and the bench, or over the files given.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cmake -S . -B build -G Ninja >/dev/null
 if [ $# -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'standins/*.cpp' 'bench/*.cpp' | grep -v '/asio\.cpp$')
+    mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' 'standins/*.cpp' 'bench/*.cpp' | grep -v '/asio\.cpp$')
 fi
 printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -n 1 clang-tidy --quiet -p build 2>/dev/null
