Let requests of more urgent customers go first

Cause: the platform's configuration gives customers a priority; it was decoded and read by nothing. Change: a request's priority is that of its route and its customer together; WaitingQueue keeps one queue for each route and priority, since a route's queue had one rank.

--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -30,7 +30,7 @@
     std::uint64_t id = 0; /**< unique on this host */
     std::string service;
     std::string route;
-    int priority = 0;
+    int priority = 0; /**< of the route and the customer together; 0 is the most urgent */
     state::Duration latencyTarget{};
     state::Duration pauseTarget{}; /**< longest pause between events that is on time; 0 if none is declared */
     state::Time arrived{}; /**< when the host had read it */
--- a/src/coordination/entry/waitingqueue.cpp
+++ b/src/coordination/entry/waitingqueue.cpp
@@ -31,8 +31,8 @@
 
 void WaitingQueue::add(WaitingRequest request)
 {
-    auto &queue = m_services[request.service][request.route];
-    // Requests of one route mostly arrive in the order of their latency targets: the search ends at once.
+    auto &queue = m_services[request.service][{ request.route, request.priority }];
+    // Requests of one queue mostly arrive in the order of their latency targets: the search ends at once.
     auto position = queue.end();
     while (position != queue.begin() && std::prev(position)->onTimeBy > request.onTimeBy) {
         --position;
@@ -57,8 +57,8 @@
 std::vector<WaitingRequest> WaitingQueue::takeExpired(state::Time now)
 {
     std::vector<WaitingRequest> expired;
-    for (auto &[service, routes] : m_services) {
-        for (auto &[route, queue] : routes) {
+    for (auto &[service, queues] : m_services) {
+        for (auto &[key, queue] : queues) {
             const auto end = std::stable_partition(queue.begin(), queue.end(), [now](const WaitingRequest &request) {
                 return request.giveUpAt > now;
             });
@@ -79,7 +79,7 @@
     if (found == m_services.end()) {
         return result;
     }
-    for (const auto &[route, queue] : found->second) {
+    for (const auto &[key, queue] : found->second) {
         if (queue.empty()) {
             continue;
         }
@@ -109,7 +109,7 @@
     }
     const double rank = rankOf(request, now);
     std::ptrdiff_t count = 0;
-    for (const auto &[route, queue] : service->second) {
+    for (const auto &[key, queue] : service->second) {
         count += std::count_if(queue.begin(), queue.end(), [&](const WaitingRequest &other) {
             const double otherRank = rankOf(other, now);
             return otherRank > rank || (otherRank == rank && other.onTimeBy <= request.onTimeBy);
@@ -128,8 +128,8 @@
 std::vector<WaitingShare> WaitingQueue::shares(state::Time now) const
 {
     std::vector<WaitingShare> shares;
-    for (const auto &[service, routes] : m_services) {
-        for (const auto &[route, queue] : routes) {
+    for (const auto &[service, queues] : m_services) {
+        for (const auto &[key, queue] : queues) {
             WaitingShare punctual{ shortHash(service), 0, 0 };
             WaitingShare late = punctual;
             for (const auto &request : queue) {
@@ -150,9 +150,9 @@
 std::vector<std::string_view> WaitingQueue::services() const
 {
     std::vector<std::string_view> names;
-    for (const auto &[service, routes] : m_services) {
-        const bool waiting = std::any_of(routes.begin(), routes.end(), [](const auto &route) {
-            return !route.second.empty();
+    for (const auto &[service, queues] : m_services) {
+        const bool waiting = std::any_of(queues.begin(), queues.end(), [](const auto &entry) {
+            return !entry.second.empty();
         });
         if (waiting) {
             names.push_back(service);
--- a/src/coordination/entry/waitingqueue.h
+++ b/src/coordination/entry/waitingqueue.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sapphirecove::coordination::entry {
@@ -52,7 +53,8 @@
     /** Returns and removes all requests whose giveUpAt has passed. */
     std::vector<WaitingRequest> takeExpired(state::Time now);
 
-    /** Returns the requests of @p service that come next, one for each route and lateness, best rank first. */
+    /** Returns the requests of @p service that come next, one for each route, priority and lateness, best rank first.
+     */
     std::vector<const WaitingRequest *> candidates(std::string_view service, state::Time now) const;
 
     /** Returns how many requests of the service of @p request wait that go before it. */
@@ -73,11 +75,12 @@
     }
 
 private:
-    using RouteQueue = std::deque<WaitingRequest>;
-    using RouteQueues = std::map<std::string, RouteQueue, std::less<>>;
+    using Queue = std::deque<WaitingRequest>;
+    using RouteAndPriority = std::pair<std::string, int>;
+    using Queues = std::map<RouteAndPriority, Queue>;
 
-    std::map<std::string, RouteQueues, std::less<>> m_services;
-    std::unordered_map<std::uint64_t, RouteQueue *> m_queueOf; /**< by id; nodes of m_services keep their address */
+    std::map<std::string, Queues, std::less<>> m_services;
+    std::unordered_map<std::uint64_t, Queue *> m_queueOf; /**< by id; nodes of m_services keep their address */
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/src/transport/entry/calladmission.cpp
+++ b/src/transport/entry/calladmission.cpp
@@ -130,6 +130,7 @@
         return ownAnswer(http::status::unauthorized, "unknown_key");
     }
     m_call.customer = customer->name;
+    m_call.customerPriority = customer->priority;
     m_call.cost = 1;
     if (customer->countsTokens) {
         m_call.cost = m_call.head.declaresTokens ? m_call.head.promptTokens + m_call.head.maxOutputTokens
--- a/src/transport/entry/calladmission.h
+++ b/src/transport/entry/calladmission.h
@@ -16,6 +16,7 @@
     std::shared_ptr<const state::entry::RoutingTable> table; /**< keeps the route alive */
     const state::entry::Route *route = nullptr;
     std::string customer; /**< empty for a public route */
+    int customerPriority = 0; /**< 0 is the most urgent */
     std::string service;
     bool model = false; /**< the service consists of model engines */
     double cost = 0; /**< in the unit of the customer's quota */
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -146,7 +146,8 @@
     request.id = m_id = ++m_context.lastRequest;
     request.service = m_admitted.service;
     request.route = m_admitted.route->name;
-    request.priority = m_admitted.route->priority;
+    // Added, not compared in turn: otherwise the less urgent customers would get nothing while there is too much work.
+    request.priority = m_admitted.route->priority + m_admitted.customerPriority;
     request.latencyTarget = m_admitted.route->latencyTarget;
     request.pauseTarget = m_admitted.route->pauseTarget;
     request.arrived = m_arrived;
--- a/tests/transport/entry/entryfixture.h
+++ b/tests/transport/entry/entryfixture.h
@@ -62,7 +62,7 @@
 constexpr std::string_view LookupPath = "/lookup/";
 constexpr std::string_view CommitPath = "/commit/";
 constexpr std::string_view NoTargetPath = "/no-target/"; /**< its service has no targets */
-constexpr std::string_view SmallQuotaKey = "k2"; /**< of a customer with a request a second */
+constexpr std::string_view SmallQuotaKey = "k2"; /**< of a less urgent customer with a request a second */
 constexpr std::string_view Seal = "X-Server-Seal: s1\r\n";
 
 /** Entry host on the loopback address, with a mocked store and scripted targets. */
@@ -219,7 +219,7 @@
             + route(CommitPath, "non_idempotent", 1, false) + ',' + route(NoTargetPath, "idempotent", 2, false, "none")
             + R"(],"services":[{"name":"s"},{"name":"none"}],"tenants":[)"
             + R"({"name":"t1","apiKeys":["k1"],"ratePerS":1000,"burst":1000},)" + R"({"name":"t2","apiKeys":[")"
-            + std::string(SmallQuotaKey) + R"("],"ratePerS":1,"burst":1}]})";
+            + std::string(SmallQuotaKey) + R"("],"ratePerS":1,"burst":1,"priority":1}]})";
     }
 
     static std::string targetDocument(std::uint16_t port)
--- a/tests/transport/entry/testentryhost.cpp
+++ b/tests/transport/entry/testentryhost.cpp
@@ -281,3 +281,42 @@
     }
     CHECK(contains(fixture.call(LookupPath, "a2", "GET", SmallQuotaKey), "\r\n\r\nserved"));
 }
+
+TEST_CASE("a waiting request of a more urgent customer goes first", "[entry][host]")
+{
+    std::promise<void> release;
+    auto released = release.get_future();
+    ScriptedTarget target([&](int number, const std::string &, BlockingConnection &connection) {
+        if (number == 0) {
+            released.wait();
+        }
+        connection.write("HTTP/1.1 200 OK\r\n" + std::string(Seal)
+                         + "Content-Length: 2\r\nConnection: close\r\n\r\nok");
+    });
+    EntryFixture fixture({ target.port() });
+    std::vector<std::unique_ptr<BlockingConnection>> callers;
+    const auto send = [&](std::string_view key) {
+        auto caller = std::make_unique<BlockingConnection>(fixture.settings().callers.port);
+        caller->write(EntryFixture::request(CommitPath, "a" + std::to_string(callers.size()), "POST", key) + "\r\n");
+        callers.push_back(std::move(caller));
+    };
+    const auto waitFor = [&](const std::string &gauge) {
+        const auto end = std::chrono::steady_clock::now() + PatienceLimit;
+        while (!contains(fixture.ask(fixture.settings().metricsPort, "/metrics"), gauge + '\n')) {
+            REQUIRE(std::chrono::steady_clock::now() < end);
+        }
+    };
+    constexpr int slots = 4;
+    for (int i = 0; i < slots; ++i) {
+        send("k1");
+    }
+    waitFor("sapphirecove_requests_running 4");
+    send(SmallQuotaKey);
+    waitFor("sapphirecove_requests_waiting 1");
+    send("k1");
+    waitFor("sapphirecove_requests_waiting 2");
+    release.set_value();
+    REQUIRE(target.waitForRequests(slots + 2));
+    CHECK(contains(target.requests().at(slots), "X-Tenant: t1"));
+    CHECK(contains(target.requests().at(slots + 1), "X-Tenant: t2"));
+}
