Call what exists once instead of writing it again

The entry path had its own copies of pieces that stood in the project, and did some work more often than needed. Ruled out: merging the list structs of the peer report codec, the blocks of named constants and the two Average-like classes: they have one shape, not one meaning. Change: - toView() and toBeast() stood five times; they are in transport/beaststring.h. - The list of hop-by-hop fields stood twice; transport/hopbyhop (moved out of data) serves both paths. - entry read its settings file itself; it calls readDocumentFile() now. What holds for all requests of a service is gathered once for each round, not for each request. Slots are dealt only where they are used. - A report is encoded once for all peers that are due. All of them get the same sequence number, which still grows for each; a received report is no longer copied twice.

--- a/src/cli/entry.cpp
+++ b/src/cli/entry.cpp
@@ -3,13 +3,12 @@
 #include "platform/codec.h"
 #include "platform/settings.h"
 #include "platform/store.h"
+#include "protocol/documenttext.h"
 #include "transport/entry/boottimeclock.h"
 #include "transport/entry/entryhost.h"
 #include "transport/log.h"
 
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <memory>
 #include <string>
 
@@ -17,19 +16,14 @@
 
 namespace {
 
-state::Result<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return state::fail("settings.read", path, "cannot be opened");
-    }
-    return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
-}
-
 state::Result<protocol::EntrySettings> loadSettings(const std::string &path)
 {
-    BOOST_LEAF_AUTO(document, readFile(path));
-    return platform::decodeSettings(document, path);
+    protocol::DocumentReport report(path);
+    const auto document = protocol::readDocumentFile(path, report);
+    if (!document) {
+        return report.failure("settings.read");
+    }
+    return platform::decodeSettings(*document, path);
 }
 
 /** Runs an entry host on the users' platform. */
--- a/src/coordination/entry/peertable.h
+++ b/src/coordination/entry/peertable.h
@@ -58,6 +58,12 @@
     /** Returns how many live peers there are. */
     std::size_t liveCount() const;
 
+    /** Returns how many live hosts there are, this one included. */
+    std::size_t liveHosts() const
+    {
+        return liveCount() + 1;
+    }
+
     /** Returns whether no live peer has a name before @p host. */
     bool isFirst(std::string_view host) const;
 
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -38,14 +38,13 @@
 constexpr state::Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr state::Duration MaxRetryAfter = std::chrono::seconds(5);
 
-state::Duration milliseconds(double value)
+double slotsOf(std::span<TargetLoad *const> targets)
 {
-    return state::durationFromSeconds(value / 1000);
-}
-
-double toMilliseconds(state::Duration duration)
-{
-    return state::toSeconds(duration) * 1000;
+    double slots = 0;
+    for (const TargetLoad *target : targets) {
+        slots += target->entry().slots;
+    }
+    return slots;
 }
 
 } // namespace
@@ -94,14 +93,14 @@
     waiting.work.events = request.expectedOutputTokens
         ? *request.expectedOutputTokens * averages.eventsPerExpectedToken.value()
         : averages.events.value();
-    waiting.pauseLimitMs = toMilliseconds(request.pauseTarget) * PauseShare;
+    waiting.pauseLimitMs = state::toMilliseconds(request.pauseTarget) * PauseShare;
     waiting.usualSlotMs = averages.slotMs.value();
     waiting.arrived = request.arrived;
-    waiting.onTimeBy =
-        request.arrived + request.latencyTarget - milliseconds(FirstEventMargin * averages.firstMs.value());
+    waiting.onTimeBy = request.arrived + request.latencyTarget
+        - state::durationFromMilliseconds(FirstEventMargin * averages.firstMs.value());
     // Counted from now: a request that comes back from a failed attempt may wait again.
-    const double patienceMs = toMilliseconds(request.deadline - now);
-    waiting.giveUpAt = now + milliseconds(patienceMs * MaxWaitShare);
+    const double patienceMs = state::toMilliseconds(request.deadline - now);
+    waiting.giveUpAt = now + state::durationFromMilliseconds(patienceMs * MaxWaitShare);
     waiting.excludedTargets = request.excludedTargets;
     averages.service = request.service;
     averages.rank = WaitingQueue::rankOf(waiting, now);
@@ -126,7 +125,6 @@
     for (const auto &expired : m_queue.takeExpired(now)) {
         decisions.push_back(refuse(expired, RefusalReason::Expired, now));
     }
-    dealSlots(now);
     for (const std::string_view service : m_queue.services()) {
         decideService(service, now, decisions);
     }
@@ -140,8 +138,9 @@
     bool progressed = true;
     while (progressed) {
         progressed = false;
+        const SlotView view = viewOf(service, usable, now);
         for (const WaitingRequest *request : m_queue.candidates(service, now)) {
-            const auto open = policy.open(fittingTargets(*request, usable, now), viewFor(*request, usable, now));
+            const auto open = policy.open(fittingTargets(*request, usable, now), viewFor(*request, view, now));
             TargetLoad *target = m_choice->choose(open, request->work);
             if (target == nullptr) {
                 continue;
@@ -176,34 +175,37 @@
  */
 const SlotPolicy &Scheduler::slotPolicy(std::string_view service, std::span<TargetLoad *const> usable, state::Time now)
 {
-    double slots = 0;
-    for (const TargetLoad *target : usable) {
-        slots += target->entry().slots;
-    }
-    const double hosts = static_cast<double>(m_peers.liveCount() + 1);
-    const state::Duration slotTime = milliseconds(m_routes.meanSlotMs(service, now));
+    const state::Duration slotTime = state::durationFromMilliseconds(m_routes.meanSlotMs(service, now));
     const bool fresh = m_peers.reportInterval() <= state::scaled(slotTime, FreshReportShare);
-    if (fresh || slots < MinOwnSlots * hosts) {
+    if (fresh || slotsOf(usable) < MinOwnSlots * static_cast<double>(m_peers.liveHosts())) {
         return m_reportedSlots;
     }
+    dealSlots(now);
     return m_dealtSlots;
 }
 
-SlotView Scheduler::viewFor(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now)
+/** Returns what holds for all requests of @p service; all that wait at peers count as waitingBelow. */
+SlotView Scheduler::viewOf(std::string_view service, std::span<TargetLoad *const> usable, state::Time now) const
 {
     SlotView view;
-    for (const TargetLoad *target : m_targets.ofService(request.service)) {
+    for (const TargetLoad *target : m_targets.ofService(service)) {
         view.ownRunning += target->ownRunning();
     }
     for (const TargetLoad *target : usable) {
         view.free += std::max<std::int64_t>(0, std::int64_t{ target->entry().slots } - target->running());
     }
-    const std::uint32_t service = shortHash(request.service);
-    view.waitingAbove = m_peers.waitingAbove(service, WaitingQueue::rankOf(request, now));
-    view.waitingBelow = std::int64_t{ m_peers.waiting(service) } - view.waitingAbove;
+    view.waitingBelow = m_peers.waiting(shortHash(service));
     // The other hosts have sent about as many as this one.
-    view.unreported = m_routes.dispatchedWithin(request.service, m_peers.reportInterval(), now)
-        * static_cast<double>(m_peers.liveCount() + 1) / static_cast<double>(std::max<std::size_t>(1, usable.size()));
+    view.unreported = m_routes.dispatchedWithin(service, m_peers.reportInterval(), now)
+        * static_cast<double>(m_peers.liveHosts()) / static_cast<double>(std::max<std::size_t>(1, usable.size()));
+    return view;
+}
+
+/** Completes the @p view of the service of @p request. */
+SlotView Scheduler::viewFor(const WaitingRequest &request, SlotView view, state::Time now) const
+{
+    view.waitingAbove = m_peers.waitingAbove(shortHash(request.service), WaitingQueue::rankOf(request, now));
+    view.waitingBelow -= view.waitingAbove;
     const auto interval = now.time_since_epoch() / m_peers.reportInterval();
     view.drawn = shortHash(m_location.host + '/' + std::to_string(request.id) + '/' + std::to_string(interval));
     return view;
@@ -211,10 +213,11 @@
 
 std::vector<TargetLoad *> Scheduler::usableTargets(std::string_view service, state::Time now) const
 {
+    const std::size_t hosts = m_peers.liveHosts();
     std::vector<TargetLoad *> usable;
     for (TargetLoad *target : m_targets.ofService(service)) {
         const auto &entry = target->entry();
-        const bool allowed = m_rollouts.mayUse(entry.service, entry.softwareVersion, m_peers.liveCount() + 1);
+        const bool allowed = m_rollouts.mayUse(entry.service, entry.softwareVersion, hosts);
         if (allowed && m_targets.accepts(*target) && target->usable(now)) {
             usable.push_back(target);
         }
@@ -235,13 +238,14 @@
 std::vector<TargetLoad *>
 Scheduler::fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now) const
 {
+    const std::size_t hosts = m_peers.liveHosts();
     std::vector<TargetLoad *> fitting;
     for (TargetLoad *target : usable) {
         const auto &excluded = request.excludedTargets;
         const bool tried = std::find(excluded.begin(), excluded.end(), target->entry().id) != excluded.end();
         // Each dispatch changes what is open: an ejected target takes one trial request, a new version a share.
-        const bool open = target->usable(now)
-            && m_rollouts.mayUse(request.service, target->entry().softwareVersion, m_peers.liveCount() + 1);
+        const bool open =
+            target->usable(now) && m_rollouts.mayUse(request.service, target->entry().softwareVersion, hosts);
         if (open && !tried && keepsPauses(*target, request)) {
             fitting.push_back(target);
         }
@@ -283,7 +287,7 @@
     Attempt &attempt = found->second;
     attempt.first = now;
     const state::Duration elapsed = now - attempt.dispatched;
-    m_routes.of(attempt.route, attempt.work.model).firstMs.add(toMilliseconds(elapsed));
+    m_routes.of(attempt.route, attempt.work.model).firstMs.add(state::toMilliseconds(elapsed));
     if (TargetLoad *target = m_targets.findByHash(attempt.targetHash)) {
         target->firstEvent(attempt.work, attempt.aheadTokens, elapsed);
     }
@@ -302,13 +306,14 @@
         target->finished(attempt.work, attempt.first.has_value(), outcome, now);
     }
     RouteAverages &averages = m_routes.of(attempt.route, attempt.work.model);
-    countForRollout(attempt, target, outcome, toMilliseconds(now - attempt.dispatched) / averages.slotMs.value());
+    countForRollout(
+        attempt, target, outcome, state::toMilliseconds(now - attempt.dispatched) / averages.slotMs.value());
     if (outcome != AttemptOutcome::Served) {
         return;
     }
-    averages.slotMs.add(toMilliseconds(now - attempt.dispatched));
+    averages.slotMs.add(state::toMilliseconds(now - attempt.dispatched));
     if (!attempt.work.model) {
-        averages.firstMs.add(toMilliseconds(now - attempt.dispatched));
+        averages.firstMs.add(state::toMilliseconds(now - attempt.dispatched));
         if (target != nullptr) {
             target->answered(now - attempt.dispatched);
         }
@@ -399,13 +404,10 @@
     if (ahead == 0) {
         return state::Duration::zero();
     }
-    double slots = 0;
-    for (const TargetLoad *target : usableTargets(request.service, now)) {
-        slots += target->entry().slots;
-    }
     const double rank = WaitingQueue::rankOf(request, now);
-    const double hosts = static_cast<double>(m_peers.liveCount() + 1);
-    const double slotMsLeft = slots * 1000 / hosts - m_routes.slotMsAbove(request.service, rank, now);
+    const double hosts = static_cast<double>(m_peers.liveHosts());
+    const double slotMsLeft =
+        slotsOf(usableTargets(request.service, now)) * 1000 / hosts - m_routes.slotMsAbove(request.service, rank, now);
     const double leftRate = slotMsLeft / std::max(1.0, request.usualSlotMs);
     const double lateRate = m_routes.dispatchRateUpTo(request.service, rank, now);
     return state::durationFromSeconds(static_cast<double>(ahead) / std::max({ MinDispatchRate, leftRate, lateRate }));
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -162,7 +162,8 @@
     fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now) const;
     void dealSlots(state::Time now);
     const SlotPolicy &slotPolicy(std::string_view service, std::span<TargetLoad *const> usable, state::Time now);
-    SlotView viewFor(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now);
+    SlotView viewOf(std::string_view service, std::span<TargetLoad *const> usable, state::Time now) const;
+    SlotView viewFor(const WaitingRequest &request, SlotView view, state::Time now) const;
     Decision dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now);
     state::Duration expectedWait(const WaitingRequest &request, state::Time now);
     void countForRollout(const Attempt &attempt, const TargetLoad *target, AttemptOutcome outcome, double latencyRatio);
--- a/src/coordination/entry/targetload.cpp
+++ b/src/coordination/entry/targetload.cpp
@@ -71,7 +71,7 @@
 void TargetLoad::firstEvent(const Work &work, double aheadTokens, state::Duration afterDispatch)
 {
     m_ownPromptTokens = std::max(0.0, m_ownPromptTokens - work.promptTokens);
-    const double readMs = std::max(0.0, state::toSeconds(afterDispatch) * 1000 - BaseFirstMs);
+    const double readMs = std::max(0.0, state::toMilliseconds(afterDispatch) - BaseFirstMs);
     if (aheadTokens >= MinPrefillSample) {
         m_msPerPromptToken.add(readMs / aheadTokens);
     }
@@ -111,13 +111,13 @@
 void TargetLoad::streamed(std::uint32_t events, state::Duration duration)
 {
     if (events >= MinEventSample) {
-        m_msPerEvent.add(state::toSeconds(duration) * 1000 / (events - 1));
+        m_msPerEvent.add(state::toMilliseconds(duration) / (events - 1));
     }
 }
 
 void TargetLoad::answered(state::Duration duration)
 {
-    m_plainMs.add(state::toSeconds(duration) * 1000);
+    m_plainMs.add(state::toMilliseconds(duration));
 }
 
 void TargetLoad::addRemote(int running, double promptTokens)
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/endian/conversion.hpp>
 
+#include <array>
 #include <bit>
 #include <cmath>
 #include <concepts>
@@ -28,9 +29,9 @@
     template <std::unsigned_integral T>
     void number(T value)
     {
-        for (std::size_t i = sizeof(T); i > 0; --i) {
-            m_bytes += static_cast<char>(static_cast<unsigned char>(value >> (8 * (i - 1))));
-        }
+        std::array<unsigned char, sizeof(T)> bytes;
+        boost::endian::endian_store<T, sizeof(T), boost::endian::order::big>(bytes.data(), value);
+        m_bytes.append(bytes.begin(), bytes.end());
     }
 
     void real(float value)
@@ -76,9 +77,8 @@
             m_failed = true;
             return;
         }
-        for (std::size_t i = 0; i < sizeof(T); ++i) {
-            value = static_cast<T>((std::uint64_t{ value } << 8U) | static_cast<unsigned char>(m_bytes[i]));
-        }
+        value = boost::endian::endian_load<T, sizeof(T), boost::endian::order::big>(
+            reinterpret_cast<const unsigned char *>(m_bytes.data()));
         m_bytes.remove_prefix(sizeof(T));
     }
 
--- a/src/state/time.h
+++ b/src/state/time.h
@@ -50,6 +50,18 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+/** Returns @p duration in milliseconds. */
+constexpr double toMilliseconds(Duration duration)
+{
+    return toSeconds(duration) * 1000;
+}
+
+/** Returns the duration closest to @p milliseconds, truncated to microseconds. */
+constexpr Duration durationFromMilliseconds(double milliseconds)
+{
+    return durationFromSeconds(milliseconds / 1000);
+}
+
 /** Returns @p duration times @p factor, truncated to microseconds. */
 constexpr Duration scaled(Duration duration, double factor)
 {
--- a/src/transport/data/calleranswer.cpp
+++ b/src/transport/data/calleranswer.cpp
@@ -1,6 +1,6 @@
 #include "transport/data/calleranswer.h"
 
-#include "transport/data/hopbyhop.h"
+#include "transport/hopbyhop.h"
 
 #include "protocol/problemdocument.h"
 
--- a/src/transport/data/callerconnection.cpp
+++ b/src/transport/data/callerconnection.cpp
@@ -1,7 +1,8 @@
 #include "transport/data/callerconnection.h"
 
-#include "transport/data/hopbyhop.h"
+#include "transport/beaststring.h"
 #include "transport/data/targetexchange.h"
+#include "transport/hopbyhop.h"
 #include "transport/httpserver.h"
 #include "transport/sockets.h"
 
@@ -78,11 +79,6 @@
     return !isOwn && !isHopByHop(name) && !beast::iequals(text, "X-Tier") && !beast::iequals(text, "X-Deadline-Ms");
 }
 
-std::string_view toView(beast::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 } // namespace
 
 CallerConnection::CallerConnection(DataState &state, tcp::socket socket)
--- a/src/transport/data/targetexchange.cpp
+++ b/src/transport/data/targetexchange.cpp
@@ -2,12 +2,12 @@
 
 #include "protocol/json.h"
 #include "protocol/problemdocument.h"
+#include "transport/beaststring.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <array>
@@ -53,11 +53,6 @@
     return "event: error\ndata: " + protocol::encodeProblem(refusal) + "\n\n";
 }
 
-beast::string_view toBeast(std::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 } // namespace
 
 TargetExchange::TargetExchange(const DataContext &context,
--- a/src/transport/entry/answers.cpp
+++ b/src/transport/entry/answers.cpp
@@ -1,5 +1,8 @@
 #include "transport/entry/answers.h"
 
+#include "transport/beaststring.h"
+#include "transport/hopbyhop.h"
+
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
@@ -10,8 +13,7 @@
 
 namespace sapphirecove::transport::entry {
 
-namespace beast = boost::beast;
-namespace http = beast::http;
+namespace http = boost::beast::http;
 
 namespace {
 
@@ -56,27 +58,21 @@
     for (const auto &token : http::token_list(fields[http::field::connection])) {
         named.emplace_back(token.data(), token.size());
     }
-    for (const auto &name : named) {
-        fields.erase(beast::string_view(name.data(), name.size()));
+    for (const auto &field : fields) {
+        // The length stays, for answers to HEAD; whoever frames a body anew sets its own.
+        const bool framing = isHopByHop(field.name()) && field.name() != http::field::content_length;
+        if (framing || field.name() == http::field::expect) {
+            named.emplace_back(toView(field.name_string()));
+        }
     }
-    for (const auto field : { http::field::connection,
-                              http::field::keep_alive,
-                              http::field::proxy_connection,
-                              http::field::proxy_authenticate,
-                              http::field::proxy_authorization,
-                              http::field::te,
-                              http::field::trailer,
-                              http::field::transfer_encoding,
-                              http::field::upgrade,
-                              http::field::expect }) {
-        fields.erase(field);
+    for (const auto &name : named) {
+        fields.erase(toBeast(name));
     }
 }
 
 state::Duration idleLimitOf(const http::fields &fields, state::Duration fallback)
 {
-    const auto value = fields[http::field::keep_alive];
-    const std::string_view text(value.data(), value.size());
+    const std::string_view text = toView(fields[http::field::keep_alive]);
     constexpr std::string_view name = "timeout=";
     const std::size_t start = text.find(name);
     if (start == std::string_view::npos) {
--- a/src/transport/entry/calladmission.cpp
+++ b/src/transport/entry/calladmission.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/calladmission.h"
 
 #include "coordination/entry/confirmation.h"
+#include "transport/beaststring.h"
 #include "transport/entry/format.h"
 #include "transport/log.h"
 
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -3,6 +3,7 @@
 #include "transport/entry/callersession.h"
 #include "transport/entry/exchange.h"
 #include "transport/log.h"
+#include "transport/operators/metricstext.h"
 #include "transport/sockets.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -204,8 +205,8 @@
     for (const auto &host : peers.expire(m_scheduler->targets(), now)) {
         logEvent("peer_silent", { { "peer", host } });
     }
-    const double share = static_cast<double>(peers.liveCount() + 1)
-        / static_cast<double>(std::max<std::size_t>(1, peers.knownCount() + 1));
+    const double share =
+        static_cast<double>(peers.liveHosts()) / static_cast<double>(std::max<std::size_t>(1, peers.knownCount() + 1));
     m_scheduler->quotas().setReachableShare(share);
 }
 
@@ -317,7 +318,7 @@
     text += "sapphirecove_requests_running " + std::to_string(m_scheduler->running()) + '\n';
     text += "sapphirecove_peers_live " + std::to_string(m_scheduler->peers().liveCount()) + '\n';
     text += "sapphirecove_targets " + std::to_string(m_scheduler->targets().size()) + '\n';
-    return makeResponse(request, http::status::ok, "text/plain; version=0.0.4", std::move(text));
+    return makeResponse(request, http::status::ok, MetricsMediaType, std::move(text));
 }
 
 } // namespace sapphirecove::transport::entry
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/exchange.h"
 
 #include "coordination/entry/connectionlimit.h"
+#include "transport/beaststring.h"
 #include "transport/entry/format.h"
 #include "transport/log.h"
 
@@ -265,7 +266,7 @@
 {
     const state::entry::Service *service = m_admitted.table->findService(entry.service);
     const std::uint32_t maxConnections = service == nullptr ? 0 : service->maxConnections;
-    const std::size_t hosts = m_context.scheduler.peers().liveCount() + 1;
+    const std::size_t hosts = m_context.scheduler.peers().liveHosts();
     return { entry.id,
              { entry.address, entry.port },
              coordination::entry::idleConnectionLimit(maxConnections, entry.slots, hosts) };
@@ -303,7 +304,7 @@
     if (m_triedTargets.size() >= m_admitted.route->maxTargets) {
         return false;
     }
-    const std::size_t hosts = m_context.scheduler.peers().liveCount() + 1;
+    const std::size_t hosts = m_context.scheduler.peers().liveHosts();
     return m_context.scheduler.repeats().take(m_admitted.service, hosts, m_context.now());
 }
 
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -98,13 +98,12 @@
     auto &scheduler = m_context.scheduler;
     const auto known = scheduler.peers().peers().find(report->host);
     const bool wasLive = known != scheduler.peers().peers().end() && known->second.live;
-    const PeerReport copy = *report;
-    if (!scheduler.peers().receive(std::move(*report), scheduler.targets(), now)) {
+    if (!scheduler.peers().receive(*report, scheduler.targets(), now)) {
         return;
     }
-    scheduler.quotas().peerReported(copy, now);
+    scheduler.quotas().peerReported(*report, now);
     if (!wasLive) {
-        logEvent("peer_heard", { { "peer", copy.host }, { "uptime_ms", std::to_string(copy.uptimeMs) } });
+        logEvent("peer_heard", { { "peer", report->host }, { "uptime_ms", std::to_string(report->uptimeMs) } });
     }
     if (scheduler.waiting() > 0) {
         m_context.runDecisions();
@@ -125,6 +124,9 @@
     report.incarnation = m_incarnation;
     report.uptimeMs =
         static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started).count());
+    // The same datagram for all peers that are due: each checks only that the sequence grows.
+    report.sequence = ++m_sequence;
+    std::string datagram;
     const auto &peers = scheduler.peers().peers();
     std::erase_if(m_links, [&](const auto &entry) {
         return !peers.contains(entry.first);
@@ -136,11 +138,12 @@
         if (now - link.sent < interval) {
             continue;
         }
-        report.sequence = ++m_sequence;
+        if (datagram.empty()) {
+            datagram = protocol::encodePeerReport(report, m_deployment);
+        }
         boost::system::error_code error;
         const auto address = asio::ip::make_address(peer.address, error);
         if (!error) {
-            const std::string datagram = protocol::encodePeerReport(report, m_deployment);
             m_socket.send_to(asio::buffer(datagram), udp::endpoint(address, peer.port), 0, error);
         }
         if (error) {
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -108,7 +108,7 @@
         }
         applyOperator(page.records);
         const bool waitedFully = waits && page.records.empty() && m_context.now() - sent >= wait;
-        const auto sureWait = state::durationFromSeconds(state::toSeconds(wait) * SureWaitShare);
+        const auto sureWait = state::scaled(wait, SureWaitShare);
         m_context.confirmed = waitedFully ? sent + sureWait : sent;
     }
 }
--- a/src/transport/data/hopbyhop.cpp
+++ b/src/transport/hopbyhop.cpp
@@ -1,4 +1,4 @@
-#include "transport/data/hopbyhop.h"
+#include "transport/hopbyhop.h"
 
 namespace sapphirecove::transport {
 
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "transport/httpserver.h"
 
+#include "transport/beaststring.h"
 #include "transport/countguard.h"
 #include "transport/watchdog.h"
 
@@ -8,7 +9,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -26,11 +26,6 @@
 
 constexpr std::string_view BearerScheme = "Bearer ";
 
-std::string_view toView(beast::string_view text)
-{
-    return { text.data(), text.size() };
-}
-
 } // namespace
 
 HttpServer::HttpServer(std::unique_ptr<Listener> listener, HttpServerLimits limits, Handler handler)
--- a/src/transport/log.cpp
+++ b/src/transport/log.cpp
@@ -51,12 +51,28 @@
     line += '"';
 }
 
+state::Result<void> checkLevel(const std::string &level)
+{
+    if (std::find(Levels.begin(), Levels.end(), level) == Levels.end()) {
+        return state::fail("log.initialize", level, "unknown level");
+    }
+    return {};
+}
+
+void useAppender(const log4cxx::AppenderPtr &appender, const std::string &level)
+{
+    logger()->removeAllAppenders();
+    logger()->setAdditivity(false);
+    logger()->addAppender(appender);
+    logger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
 } // namespace
 
 state::Result<void> initializeLog(const protocol::LogSettings &settings)
 {
-    if (std::find(Levels.begin(), Levels.end(), settings.level) == Levels.end()) {
-        return state::fail("log.initialize", settings.level, "unknown level");
+    if (auto known = checkLevel(settings.level); !known) {
+        return known.error();
     }
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LineFormat);
     log4cxx::AppenderPtr appender;
@@ -65,17 +81,14 @@
     } else {
         appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file.string(), true);
     }
-    logger()->removeAllAppenders();
-    logger()->setAdditivity(false);
-    logger()->addAppender(appender);
-    logger()->setLevel(log4cxx::Level::toLevel(settings.level));
+    useAppender(appender, settings.level);
     return {};
 }
 
 state::Result<void> initializeStandardOutputLog(const std::string &level)
 {
-    if (std::find(Levels.begin(), Levels.end(), level) == Levels.end()) {
-        return state::fail("log.initialize", level, "unknown level");
+    if (auto known = checkLevel(level); !known) {
+        return known.error();
     }
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LineFormat);
     const auto output = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
@@ -83,10 +96,7 @@
     buffer->setBufferSize(MaxBufferedLines);
     buffer->setBlocking(false);
     buffer->addAppender(output);
-    logger()->removeAllAppenders();
-    logger()->setAdditivity(false);
-    logger()->addAppender(buffer);
-    logger()->setLevel(log4cxx::Level::toLevel(level));
+    useAppender(buffer, level);
     return {};
 }
 
