Log and count the limits that targets state in their responses

Change: the adapter decodes the header; each host remembers per target what was stated last. A line target_limit_changed with target, limit, age and source for each changed belief, one for each malformed value, target_limit in each dispatch line, and metrics: targets with a limit in force, answers with a limit, malformed limits. Placement is unchanged. Ruled out: counting at the targets' side, which hosts cannot see.

--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -7,6 +7,7 @@
 #include "coordination/entry/routestatistics.h"
 #include "coordination/entry/scheduledrequest.h"
 #include "coordination/entry/targetchoice.h"
+#include "coordination/entry/targetlimits.h"
 #include "coordination/entry/targettable.h"
 #include "coordination/entry/waitingqueue.h"
 #include "state/entry/bounds.h"
@@ -55,6 +56,12 @@
         return m_retryBudget;
     }
 
+    /** Limits that targets state in their responses. */
+    TargetLimits &limits()
+    {
+        return m_limits;
+    }
+
     RolloutController &rollouts()
     {
         return m_rollouts;
@@ -132,6 +139,7 @@
     PeerTable m_peers;
     QuotaTable m_quotas;
     FleetRetryBudget m_retryBudget;
+    TargetLimits m_limits;
     RolloutController m_rollouts;
     RouteStatistics m_routes;
     WaitingQueue m_queue;
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -369,6 +369,7 @@
     text += "sapphirecove_decider " + std::to_string(m_fleet.isActiveDecider(m_context.now()) ? 1 : 0) + '\n';
     text += "sapphirecove_requests_asked " + std::to_string(m_fleet.awaitingDecision()) + '\n';
     text += "sapphirecove_targets " + std::to_string(m_scheduler->targets().size()) + '\n';
+    text += "sapphirecove_target_limits " + std::to_string(m_scheduler->limits().inForce()) + '\n';
     return makeResponse(request, http::status::ok, MetricsMediaType, std::move(text));
 }
 
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -236,6 +236,7 @@
                { "decider", m_decision->decider },
                { "version", entry.softwareVersion },
                { "target_running", std::to_string(m_decision->targetRunning) },
+               { "target_limit", describeLimit(m_context.scheduler.limits().find(m_decision->targetHash), now) },
                { "expected_first_ms", std::to_string(static_cast<int>(m_decision->expectedFirstMs)) },
                { "waited_ms", milliseconds(now - m_arrived) },
                { "attempt", std::to_string(m_triedTargets.size()) } });
@@ -282,6 +283,7 @@
     const std::uint32_t maxConnections = service == nullptr ? 0 : service->maxConnections;
     const std::size_t hosts = m_context.fleet.hosts(m_context.now());
     return { entry.id,
+             m_decision->targetHash,
              { entry.address, entry.port },
              coordination::entry::idleConnectionLimit(maxConnections, entry.slots, hosts) };
 }
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -1,5 +1,7 @@
 #include "transport/entry/targetattempt.h"
 
+#include "transport/entry/format.h"
+#include "transport/log.h"
 #include "transport/sockets.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -147,6 +149,7 @@
     if (response.notExecuted) {
         result.mayHaveRun = false;
     }
+    recordRateStatement(response);
     const bool success = head.result_int() / 100 == 2;
     if (success && !response.hasSignature) {
         result.detail = "2xx response without a signature";
@@ -164,6 +167,36 @@
     }
 }
 
+/** Applies and logs what the header of a response states about the limit of its target. */
+void TargetAttempt::recordRateStatement(const ResponseFields &response)
+{
+    using coordination::entry::RateStatement;
+    // Another process at the address answers 421, and a response without a signature may be anyone's.
+    const bool fromTarget = response.hasSignature
+        || (response.notExecuted && m_parser->get().result() != http::status::misdirected_request);
+    if (!fromTarget) {
+        return;
+    }
+    const state::Time now = m_context.now();
+    auto &limits = m_context.scheduler.limits();
+    if (response.rate.kind == RateStatement::Kind::Limit) {
+        m_context.metrics.count("answers_with_target_limit_total");
+    } else if (response.rate.kind == RateStatement::Kind::Malformed) {
+        m_context.metrics.count("target_limits_malformed_total");
+        logEvent("target_limit_malformed", { { "target", m_target.id } });
+    }
+    const auto *known = limits.find(m_target.hash);
+    const std::string before = describeLimit(known, now);
+    if (limits.responded(m_target.hash, response.rate, now)) {
+        logEvent("target_limit_changed",
+                 { { "target", m_target.id },
+                   { "target_hash", std::to_string(m_target.hash) },
+                   { "limit", describeLimit(limits.find(m_target.hash), now) },
+                   { "before", before },
+                   { "source", "response" } });
+    }
+}
+
 /** Reads the header of the response to @p attemptId and skips late responses to earlier requests of the connection. */
 asio::awaitable<bool> TargetAttempt::readHead(const std::string &attemptId, AttemptResult &result)
 {
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -51,6 +51,7 @@
 struct AttemptTarget
 {
     std::string id; /**< of the incarnation */
+    std::uint32_t hash = 0; /**< see TargetLoad::hash() */
     protocol::Endpoint endpoint;
     std::size_t maxIdleConnections = 1; /**< that this host keeps open to the target */
 };
@@ -96,6 +97,7 @@
     boost::asio::awaitable<bool> readBodyChunk(std::string &bytes, AttemptResult &result);
     boost::asio::awaitable<void> readFullResponse(AttemptResult &result);
     boost::asio::awaitable<void> readStream(StreamSink &sink, AttemptResult &result);
+    void recordRateStatement(const ResponseFields &response);
     void returnConnection();
     void startInactivityTimer(state::Duration timeout);
 
--- a/src/transport/entry/wirecodec.h
+++ b/src/transport/entry/wirecodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/ratestatement.h"
 #include "state/entry/routing.h"
 #include "state/entry/targetentry.h"
 #include "state/failure.h"
@@ -42,6 +43,7 @@
     std::string attemptId; /**< attempt that the response belongs to; empty if it names none */
     bool hasSignature = false; /**< carries the target's signature */
     bool notExecuted = false; /**< the target states that it did not run the request */
+    coordination::entry::RateStatement rate;
 };
 
 /** Kind of a record in the operator's topic. */
--- a/tests/platform/testplatform.cpp
+++ b/tests/platform/testplatform.cpp
@@ -226,6 +226,33 @@
     }
 }
 
+// Guards against a limit that is misread, or invented from a field that is not a number.
+TEST_CASE("the limit in a target's response is decoded and a malformed one is told from none", "[platform][limit]")
+{
+    using coordination::entry::RateStatement;
+    const auto decode = [](const std::vector<std::string> &values) {
+        transport::entry::WireCodec::ResponseHeader header;
+        for (const auto &value : values) {
+            header.insert("Server-Limit", value);
+        }
+        return Codec().decodeResponse(header).rate;
+    };
+    CHECK(decode({}).kind == RateStatement::Kind::None);
+    const std::pair<const char *, double> limits[] = { { "2.7", 2.7 }, { " 4 ", 4 }, { "0", 0 }, { "0.25", 0.25 } };
+    for (const auto &[text, value] : limits) {
+        INFO(text);
+        CHECK(decode({ text }).kind == RateStatement::Kind::Limit);
+        CHECK(decode({ text }).requestsPerSecond == value);
+    }
+    for (const char *text : { "", " ", "many", "2.7x", "2,7", "-1", "nan", "inf", "1e3", "0x10", "2 3" }) {
+        INFO(text);
+        CHECK(decode({ text }).kind == RateStatement::Kind::Malformed);
+    }
+    CHECK(decode({ std::string(400, '9') }).kind == RateStatement::Kind::Malformed);
+    CHECK(decode({ "3", "3" }).requestsPerSecond == 3);
+    CHECK(decode({ "3", "30" }).kind == RateStatement::Kind::Malformed);
+}
+
 TEST_CASE("the newest records are decoded page by page", "[platform][store]")
 {
     const auto [page, problem] = attempt<NewestPage>([] {
--- a/tests/platform/testwirenames.cpp
+++ b/tests/platform/testwirenames.cpp
@@ -13,7 +13,8 @@
                                 "X-Api-Key",     "X-Tenant",     "X-Token-Count",     "X-Prompt-Prefix",
                                 "X-Length-Hint", "log-append",   "log-newest",        "log-read",
                                 "keyed.",        "coldLeftMs",   "targetLatencyMs",   "pathPrefix\"",
-                                "maxAttempts",   "apiKeys",      "rolled_back",       "SAPPHIRECOVE_CONFIG" };
+                                "maxAttempts",   "apiKeys",      "rolled_back",       "SAPPHIRECOVE_CONFIG",
+                                "Server-Limit" };
     namespace fs = std::filesystem;
     for (const char *folder : { "src", "bench" }) {
         for (const auto &entry : fs::recursive_directory_iterator(fs::path(SAPPHIRECOVE_SOURCE) / folder)) {
