Add failing tests: targets get more requests than the limit that they state

Change: the simulated fleet has targets that state limits and hosts that restart; the checker is the users' rule (some 4 s, one and a half times the limit plus 5, hosts that were told half a second before; restarted, paused and cut hosts excused). A real entry host with a scripted target besides.

--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -13,6 +13,9 @@
 constexpr state::Duration TargetsAge = milliseconds(1500);
 constexpr state::Duration ReportInterval = milliseconds(300);
 
+/** Time from the arrival of a request at its target to the head of the response at the host. */
+constexpr state::Duration ResponseDelay = milliseconds(40);
+
 std::string nameOf(int host)
 {
     return "host-" + std::to_string(host);
@@ -26,7 +29,7 @@
     SimulatedHost(SimulatedFleet &owner, int hostNumber)
         : fleetOwner(owner)
         , number(hostNumber)
-        , process{ nameOf(hostNumber), 1000U + static_cast<unsigned>(hostNumber), "10.0.0.1", 1 }
+        , process{ nameOf(hostNumber), ++owner.m_lastIncarnation, "10.0.0.1", 1 }
         , scheduler(makeSchedulerOf(process))
         , fleet(*scheduler, process, regionOf(hostNumber), *this)
     {
@@ -106,17 +109,23 @@
         m_numberOf[nameOf(i)] = i;
     }
     for (auto &simulatedHost : m_hosts) {
-        for (int i = 0; i < options.hosts; ++i) {
-            simulatedHost->fleet.directory().learn({ nameOf(i), "10.0.0.1", 1, SimulatedHost::regionOf(i), 0.25 });
-            if (i != simulatedHost->number) {
-                simulatedHost->scheduler->peers().addPeer(nameOf(i), "10.0.0.1", 1, m_now);
-            }
-        }
-        for (int i = 0; i < options.targets; ++i) {
-            simulatedHost->scheduler->targets().listed(makeTarget("t" + std::to_string(i), options.slots));
+        prepare(*simulatedHost);
+    }
+}
+
+/** Tells a new process of its peers and the targets. */
+void SimulatedFleet::prepare(SimulatedHost &simulatedHost)
+{
+    for (int i = 0; i < m_options.hosts; ++i) {
+        simulatedHost.fleet.directory().learn({ nameOf(i), "10.0.0.1", 1, SimulatedHost::regionOf(i), 0.25 });
+        if (i != simulatedHost.number) {
+            simulatedHost.scheduler->peers().addPeer(nameOf(i), "10.0.0.1", 1, m_now);
         }
-        simulatedHost->fleet.setCanDecide(true, false);
     }
+    for (int i = 0; i < m_options.targets; ++i) {
+        simulatedHost.scheduler->targets().listed(makeTarget("t" + std::to_string(i), m_options.slots));
+    }
+    simulatedHost.fleet.setCanDecide(true, false);
 }
 
 SimulatedFleet::~SimulatedFleet() = default;
@@ -223,6 +232,7 @@
     if (decision.refusal) {
         return;
     }
+    respond(host, decision);
     auto &running = m_atTarget[decision.target.id];
     running.insert(id);
     m_highestLoad = std::max(m_highestLoad, static_cast<std::uint32_t>(running.size()));
@@ -233,6 +243,29 @@
     });
 }
 
+/** Records the arrival of a request and sends the head of the response, with what the target states then. */
+void SimulatedFleet::respond(int host, const Decision &decision)
+{
+    const std::string target = decision.target.id;
+    const std::uint32_t hash = decision.targetHash;
+    m_arrivals[target].push_back({ m_now, host });
+    m_events.emplace(m_now + ResponseDelay, [this, host, target, hash] {
+        const RateStatement statement = m_statements[target];
+        SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
+        const auto deliver = [this, target, hash, statement](SimulatedHost &receiver) {
+            receiver.scheduler->limits().responded(hash, statement, m_now);
+            if (statement.kind == RateStatement::Kind::Limit) {
+                m_limitToldAt.emplace(std::pair(target, receiver.number), m_now);
+            }
+        };
+        if (simulatedHost.paused) {
+            simulatedHost.queued.push_back(deliver);
+        } else if (simulatedHost.alive) {
+            deliver(simulatedHost);
+        }
+    });
+}
+
 /** Tells the host that its request has ended; a paused host gets to know when it resumes. */
 void SimulatedFleet::ended(int host, std::uint64_t id)
 {
@@ -272,6 +305,39 @@
     m_hosts[static_cast<std::size_t>(host)]->alive = false;
 }
 
+void SimulatedFleet::restart(int host)
+{
+    // The process is kept until the end, since events may still refer to it.
+    auto &current = m_hosts[static_cast<std::size_t>(host)];
+    current->alive = false;
+    m_ended.push_back(std::move(current));
+    current = std::make_unique<SimulatedHost>(*this, host);
+    prepare(*current);
+}
+
+void SimulatedFleet::setStatement(const std::string &target, const RateStatement &statement)
+{
+    m_statements[target] = statement;
+    if (statement.kind == RateStatement::Kind::None) {
+        std::erase_if(m_limitToldAt, [&](const auto &entry) {
+            return entry.first.first == target;
+        });
+    }
+}
+
+const std::vector<SimulatedFleet::Arrival> &SimulatedFleet::arrivalsAt(const std::string &target) const
+{
+    static const std::vector<Arrival> None;
+    const auto found = m_arrivals.find(target);
+    return found == m_arrivals.end() ? None : found->second;
+}
+
+std::optional<state::Time> SimulatedFleet::limitToldAt(const std::string &target, int host) const
+{
+    const auto found = m_limitToldAt.find({ target, host });
+    return found == m_limitToldAt.end() ? std::nullopt : std::optional(found->second);
+}
+
 void SimulatedFleet::denyDiscovery(int host)
 {
     m_hosts[static_cast<std::size_t>(host)]->discovers = false;
--- a/tests/coordination/entry/simulatedfleet.h
+++ b/tests/coordination/entry/simulatedfleet.h
@@ -48,6 +48,12 @@
     /** Ends the process of host @p host for good. */
     void kill(int host);
 
+    /** Starts a new process of host @p host, which knows its peers and the targets but nothing else. */
+    void restart(int host);
+
+    /** Makes the responses of @p target state @p statement from now on. */
+    void setStatement(const std::string &target, const RateStatement &statement);
+
     /** Makes discovery refuse host @p host: its list of targets is no longer updated or confirmed. */
     void denyDiscovery(int host);
 
@@ -62,6 +68,22 @@
         return m_now;
     }
 
+    /** A request that reached a target. */
+    struct Arrival
+    {
+        state::Time at;
+        int host = 0;
+    };
+
+    /** Requests that reached @p target, oldest first. */
+    const std::vector<Arrival> &arrivalsAt(const std::string &target) const;
+
+    /**
+     * Returns when the responses of @p target first told host @p host its limit; nothing if they never did, or not
+     * since the limit ended. Restarts of the host do not change it.
+     */
+    std::optional<state::Time> limitToldAt(const std::string &target, int host) const;
+
     /** Decisions by id; more than one for an id is counted in duplicateDecisions(). */
     const std::map<std::uint64_t, Decision> &decisions() const
     {
@@ -96,7 +118,9 @@
     friend struct SimulatedHost;
 
     void post(int from, const std::string &to, std::function<void(SimulatedHost &)> deliver);
+    void prepare(SimulatedHost &simulatedHost);
     void placed(int host, const Decision &decision);
+    void respond(int host, const Decision &decision);
     void ended(int host, std::uint64_t id);
     void report(int host);
 
@@ -105,12 +129,17 @@
     std::mt19937 m_random;
     std::multimap<state::Time, std::function<void()>> m_events;
     std::vector<std::unique_ptr<SimulatedHost>> m_hosts;
+    std::vector<std::unique_ptr<SimulatedHost>> m_ended; /**< processes of hosts that were started again */
     std::map<std::string, int> m_numberOf;
     std::set<std::pair<int, int>> m_partitions;
     std::map<std::uint64_t, Decision> m_decisions;
     std::map<std::uint64_t, state::Duration> m_work;
     std::map<std::string, std::set<std::uint64_t>> m_atTarget;
+    std::map<std::string, RateStatement> m_statements;
+    std::map<std::string, std::vector<Arrival>> m_arrivals;
+    std::map<std::pair<std::string, int>, state::Time> m_limitToldAt;
     std::uint64_t m_lastId = 0;
+    std::uint64_t m_lastIncarnation = 1000;
     int m_duplicateDecisions = 0;
     std::uint32_t m_highestLoad = 0;
 };
--- a/tests/transport/entry/testentryhost.cpp
+++ b/tests/transport/entry/testentryhost.cpp
@@ -140,6 +140,30 @@
     CHECK(target.requests().size() == 1);
 }
 
+// Guards against a limit in the responses of a target that is passed on to callers and not kept.
+TEST_CASE("a target that states a limit gets no more requests than that", "[entry][host][limit]")
+{
+    constexpr double limit = 1;
+    constexpr std::chrono::seconds span{ 6 };
+    ScriptedTarget target([](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Seal: s1\r\nServer-Limit: 1\r\n"
+                         "Connection: close\r\nContent-Length: 2\r\n\r\nok");
+    });
+    EntryFixture fixture({ target.port() });
+    CHECK(contains(fixture.call(LookupPath), "\r\nServer-Limit: 1\r\n"));
+    const auto end = std::chrono::steady_clock::now() + span;
+    std::size_t served = 0;
+    while (std::chrono::steady_clock::now() < end && target.requests().size() < 100) {
+        const std::string response = fixture.call(LookupPath);
+        served += contains(response, " 200 OK") ? 1 : 0;
+        // A request over the limit waits for its turn or is refused with a time to come back.
+        CHECK((contains(response, " 200 OK") || (contains(response, " 503 ") && contains(response, "Retry-After: "))));
+    }
+    CHECK(target.requests().size() == served + 1);
+    CHECK(static_cast<double>(target.requests().size()) <= 1.5 * limit * span.count() + 5);
+    CHECK(served >= 2);
+}
+
 TEST_CASE("an idempotent request is sent to another target after an error response", "[entry][host]")
 {
     const auto script = [](int, const std::string &, BlockingConnection &connection) {
