Keep to the limits that targets state, over all hosts together

Cause: the limit in a target's response reached nobody who decides. It was passed on to the caller with the other header fields; placement knew slots only. Class: a statement about a resource that all hosts share is dropped at the boundary where it arrives. Evidence: one entry host alone sends 100 requests where 14 are allowed, so neither shares between hosts nor reports are needed for the fault; no line of the code named the header. Ruled out: a limit kept by each host for itself, since six hosts would send six times as much; a limit known to the deciders only through their own responses, since a decider that restarts or a host that reads the limit through another decider would not know it. Change: TargetLimits holds what is known of each limit and RatePacer the requests that it leaves. The decider spreads all requests, retries included, at the stated rate; others wait, go to other targets or are refused with a time to come back that counts the limits. Every host reports the limits that it knows (a first or lowered one within 75 ms) and what it sent on whose decision; replies carry them back. A revision orders changes without clocks. A host uses the part of the rate that belongs to the hosts it hears; one that takes charge starts with less than one request. After a limit ends the rate doubles every half second. A malformed value changes nothing; a limit near zero is tried once in 4 s.

--- a/src/coordination/entry/decidermessages.h
+++ b/src/coordination/entry/decidermessages.h
@@ -82,6 +82,7 @@
     state::Duration confirmedAge{}; /**< since the metadata store last certainly held that version as its newest */
     std::uint32_t liveHosts = 0; /**< hosts whose reports it gets, itself included */
     std::vector<QuotaShare> quotas; /**< use by all hosts */
+    std::vector<LimitShare> limits;
 };
 
 /** Returns a hash that identifies a process in reports. */
--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -136,6 +136,7 @@
 void FleetScheduler::received(const ReportReply &reply, state::Time now)
 {
     m_directory.reportAnswered(reply, state::timeFromMicroseconds(reply.reportSentAt));
+    m_scheduler.limits().merge(reply.limits, now);
     // Deciders know the usage from the reports. If they also took it from each other, it would never decrease.
     if (!reply.quotas.empty() && !m_directory.isCandidate(now) && !isActiveDecider(now)) {
         m_scheduler.quotas().raiseUseTo(reply.quotas, now);
@@ -145,6 +146,7 @@
 void FleetScheduler::received(const PeerReport &report, state::Time now)
 {
     m_remoteRequests.handleReport(report, now);
+    m_scheduler.limits().peerReported(report, now);
     if (m_scheduler.waiting() > 0) {
         decide(now);
     }
@@ -160,6 +162,7 @@
     reply.canDecide = canDecide(now);
     reply.qualified = qualified(now);
     reply.liveHosts = static_cast<std::uint32_t>(peers.liveHosts());
+    reply.limits = m_scheduler.limits().shares(now);
     if (isActiveDecider(now)) {
         if (now - m_sharesAt >= ShareInterval) {
             m_sharesAt = now;
@@ -188,6 +191,7 @@
 
 void FleetScheduler::begin(const Decision &decision, std::string_view decider, std::uint32_t deciderHash)
 {
+    m_scheduler.limits().sent(decision.targetHash, deciderHash);
     const auto tokens = m_promptTokens.find(decision.request);
     m_active[decision.request] = {
         std::string(decider), deciderHash, decision.targetHash, tokens == m_promptTokens.end() ? 0 : tokens->second
@@ -211,6 +215,7 @@
     detectPause(now);
     m_lastTick = now;
     m_directory.setSelf(canDecide(now), qualified(now));
+    m_scheduler.limits().setShare(limitShare(now), now);
     m_remoteRequests.expire(now);
     sendDecisionRequests(now);
     if (m_scheduler.waiting() > 0) {
@@ -291,6 +296,21 @@
     return receivesMostReports && now - m_targetsConfirmed < m_maxTargetsAge && !m_scheduler.targets().hasLapsed();
 }
 
+/**
+ * Returns the part of the targets' limits that this host may use: that of the hosts that it hears if it decides for
+ * them, its own if it has to decide alone, nothing while another host decides.
+ */
+double FleetScheduler::limitShare(state::Time now) const
+{
+    const auto decider = m_directory.decider(now);
+    const bool decidesForOthers = isActiveDecider(now) || (decider && *decider == m_self.host);
+    if (decidesForOthers) {
+        const auto &peers = m_scheduler.peers();
+        return static_cast<double>(peers.liveHosts()) / static_cast<double>(peers.knownCount() + 1);
+    }
+    return decider ? 0 : 1 / static_cast<double>(std::max(m_directory.size(), hosts(now)));
+}
+
 bool FleetScheduler::canDecide(state::Time now) const
 {
     return m_targetsKnown && !m_stopping && now >= m_pausedUntil;
--- a/src/coordination/entry/fleetscheduler.h
+++ b/src/coordination/entry/fleetscheduler.h
@@ -72,6 +72,15 @@
     /** Sends messages again and expires entries; call it some tens of times a second. */
     void tick(state::Time now);
 
+    /**
+     * Returns whether this host has learned something since the last call that the deciders should know before its next
+     * regular report.
+     */
+    bool takeUrgentReport()
+    {
+        return m_scheduler.limits().takeUrgent();
+    }
+
     /** Adds the load and counts of this host to its report to the deciders. */
     void fillReport(PeerReport &report, state::Time now);
 
@@ -131,6 +140,7 @@
 
     void detectPause(state::Time now);
     bool qualified(state::Time now) const;
+    double limitShare(state::Time now) const;
     void submitLocally(const ScheduledRequest &request, state::Time now);
     void begin(const Decision &decision, std::string_view decider, std::uint32_t deciderHash);
     void sendUpdate(const std::string &decider,
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -30,6 +30,24 @@
     float usedInWindow = 0; /**< by all hosts, as the sender sees it */
 };
 
+/** Limit that a target has stated, as the sender knows it; see TargetLimit. */
+struct LimitShare
+{
+    std::uint32_t target = 0; /**< hash of the incarnation */
+    float requestsPerSecond = 0;
+    std::uint32_t revision = 0;
+    bool ended = false;
+    std::uint32_t ageMs = 0; /**< since it was stated last, or since its end */
+};
+
+/** Requests that a host has sent to a target with a limit, on the decisions of one process. */
+struct SentShare
+{
+    std::uint32_t target = 0; /**< hash of the incarnation */
+    std::uint32_t decider = 0; /**< see processHash() */
+    std::uint32_t requests = 0; /**< only grows while the host knows a limit of the target */
+};
+
 /** Answers of one software version on one route that a host has received since the rollout began. */
 struct VersionShare
 {
@@ -59,6 +77,8 @@
     std::vector<ActiveRequest> active;
     std::vector<QuotaShare> quotas;
     std::vector<VersionShare> versions;
+    std::vector<LimitShare> limits;
+    std::vector<SentShare> sent;
 };
 
 } // namespace sapphirecove::coordination::entry
--- /dev/null
+++ b/src/coordination/entry/ratepacer.cpp
@@ -0,0 +1,48 @@
+#include "coordination/entry/ratepacer.h"
+
+#include <algorithm>
+
+namespace sapphirecove::coordination::entry {
+
+namespace {
+
+/** Time for which unused requests are kept; short, so that a target gets no bursts. */
+constexpr double BurstSeconds = 0.5;
+
+/** Time for which requests that others sent beyond the rate are remembered. */
+constexpr double DebtSeconds = 4;
+
+} // namespace
+
+RatePacer::RatePacer(double phase)
+    : m_phase(phase)
+    , m_level(phase)
+{
+}
+
+void RatePacer::takeCharge(state::Time now)
+{
+    m_level = std::min(m_level, m_phase);
+    m_updated = now;
+}
+
+void RatePacer::refill(double rate, state::Time now)
+{
+    if (m_updated != state::Time() && now > m_updated) {
+        m_level += rate * state::toSeconds(now - m_updated);
+    }
+    m_level = std::min(m_level, std::max(1.0, rate * BurstSeconds));
+    m_updated = std::max(m_updated, now);
+}
+
+bool RatePacer::ready() const
+{
+    return m_level >= 1;
+}
+
+void RatePacer::spend(double requests, double rate)
+{
+    m_level = std::max(m_level - requests, -std::max(1.0, rate * DebtSeconds));
+}
+
+} // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/scheduledrequest.h
+++ b/src/coordination/entry/scheduledrequest.h
@@ -52,6 +52,7 @@
     state::entry::TargetEntry target;
     std::uint32_t targetHash = 0;
     std::uint32_t targetRunning = 0; /**< requests at the target before this one, as far as known */
+    std::optional<double> targetLimit; /**< in requests per second from all hosts, as the decider knows it */
     double expectedFirstMs = 0;
 };
 
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -31,15 +31,6 @@
 constexpr state::Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr state::Duration MaxRetryAfter = std::chrono::seconds(5);
 
-double slotsOf(std::span<TargetLoad *const> targets)
-{
-    double slots = 0;
-    for (const TargetLoad *target : targets) {
-        slots += target->entry().slots;
-    }
-    return slots;
-}
-
 } // namespace
 
 std::string_view nameOf(RefusalReason reason)
@@ -70,6 +61,7 @@
     : m_peers(self)
     , m_quotas(bounds)
     , m_retryBudget(bounds)
+    , m_limits(self)
     , m_rollouts(bounds)
     , m_location(std::move(location))
     , m_targetChoice(std::make_unique<ExpectedTimeChoice>(m_location.regionOfDomain))
@@ -176,9 +168,12 @@
     return request.pauseLimitMs <= 0 || target.expectedPauseMs(request.work) <= request.pauseLimitMs;
 }
 
-/** Returns the targets with a free slot that @p request has not tried yet and that meet its pause limit. */
+/**
+ * Returns the targets with a free slot that @p request has not tried yet, that meet its pause limit and that accept a
+ * request now.
+ */
 std::vector<TargetLoad *>
-Scheduler::fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now) const
+Scheduler::fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now)
 {
     std::vector<TargetLoad *> fitting;
     for (TargetLoad *target : usable) {
@@ -188,7 +183,8 @@
         // share.
         const bool open =
             target->usable(now) && m_rollouts.mayUse(request.service, target->entry().softwareVersion, m_deciders);
-        if (open && target->hasRoom() && !tried && meetsPauseLimit(*target, request)) {
+        if (open && target->hasRoom() && !tried && meetsPauseLimit(*target, request)
+            && m_limits.mayDispatch(target->hash(), now)) {
             fitting.push_back(target);
         }
     }
@@ -202,6 +198,7 @@
     decision.target = target.entry();
     decision.targetHash = target.hash();
     decision.targetRunning = target.running();
+    decision.targetLimit = m_limits.rate(target.hash(), now);
     decision.expectedFirstMs = target.expectedFirstMs(request.work);
 
     Attempt attempt;
@@ -211,6 +208,7 @@
     attempt.expectedOutputTokens = request.expectedOutputTokens;
     attempt.dispatched = now;
     target.dispatched(request.work);
+    m_limits.dispatched(target.hash(), now);
     m_routes.of(request.route, request.work.model).dispatched.add(1, now);
     m_rollouts.dispatched(request.service, target.entry().softwareVersion, request.route);
     attempt.aheadTokens = target.pendingPromptTokens();
@@ -317,12 +315,15 @@
     if (m_targets.expire(now)) {
         targetsChanged();
     }
+    m_limits.expire(now);
 }
 
 void Scheduler::fillReport(PeerReport &report, state::Time now)
 {
     report.quotas = m_quotas.shares(now);
     report.versions = m_rollouts.shares();
+    report.limits = m_limits.shares(now);
+    report.sent = m_limits.sentShares();
 }
 
 /**
@@ -338,14 +339,25 @@
         return state::Duration::zero();
     }
     const double rank = WaitingQueue::rankOf(request, now);
-    const double slotMsLeft =
-        slotsOf(usableTargets(request.service, now)) * 1000 - m_routes.slotMsAbove(request.service, rank, now);
+    const double slotMsLeft = slotsLeft(request, now) * 1000 - m_routes.slotMsAbove(request.service, rank, now);
     const double availableRate = slotMsLeft / std::max(1.0, request.usualSlotMs);
     const double recentRate = m_routes.dispatchRateUpTo(request.service, rank, now);
     return state::durationFromSeconds(static_cast<double>(ahead)
                                       / std::max({ MinDispatchRate, availableRate, recentRate }));
 }
 
+/** Returns the slots of the usable targets that requests like @p request can keep busy within the targets' limits. */
+double Scheduler::slotsLeft(const WaitingRequest &request, state::Time now) const
+{
+    double slots = 0;
+    for (const TargetLoad *target : usableTargets(request.service, now)) {
+        const auto rate = m_limits.rate(target->hash(), now);
+        const double all = target->entry().slots;
+        slots += rate ? std::min(all, *rate * request.usualSlotMs / 1000) : all;
+    }
+    return slots;
+}
+
 /** Refuses @p request. Its retryAfter is an estimate of when the requests that wait before it are gone. */
 Decision Scheduler::refuse(const WaitingRequest &request, RefusalReason reason, state::Time now)
 {
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -94,10 +94,10 @@
     /** Counts the load at the targets again after discovery has changed them. */
     void targetsChanged();
 
-    /** Drops targets whose entries lapsed with the store and were not restored. */
+    /** Drops targets whose entries lapsed with the store and were not restored, and outdated limits. */
     void expireTargets(state::Time now);
 
-    /** Adds this host's admitted quota costs and rollout counts to the report to the deciders. */
+    /** Adds this host's admitted quota costs, rollout counts and limits of targets to the report to the deciders. */
     void fillReport(PeerReport &report, state::Time now);
 
     std::size_t waiting() const
@@ -129,7 +129,8 @@
     std::vector<TargetLoad *> usableTargets(std::string_view service, state::Time now) const;
     static bool meetsPauseLimit(const TargetLoad &target, const WaitingRequest &request);
     std::vector<TargetLoad *>
-    fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now) const;
+    fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now);
+    double slotsLeft(const WaitingRequest &request, state::Time now) const;
     Decision dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now);
     state::Duration expectedWait(const WaitingRequest &request, state::Time now);
     void countForRollout(const Attempt &attempt, const TargetLoad *target, AttemptOutcome outcome, double latencyRatio);
--- a/src/coordination/entry/targetlimits.cpp
+++ b/src/coordination/entry/targetlimits.cpp
@@ -1,42 +1,300 @@
 #include "coordination/entry/targetlimits.h"
 
+#include "coordination/entry/shorthash.h"
+
 #include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
 
 namespace sapphirecove::coordination::entry {
 
+namespace {
+
+/**
+ * Lowest rate in requests per second at which a target is used, whatever it states: without a request now and then,
+ * no response would tell that its limit has changed.
+ */
+constexpr double MinRate = 0.25;
+
+/** Time in which the rate doubles after the end of a limit, as a target that was in need must not get all at once. */
+constexpr double EndDoublingSeconds = 0.5;
+
+/** Time after the end of a limit from which on the target gets as much as any other. */
+constexpr state::Duration EndRamp = std::chrono::seconds(4);
+
+/** Time for which hosts remember a limit after it was stated last, and its end. */
+constexpr state::Duration KeepStated = std::chrono::minutes(10);
+constexpr state::Duration KeepEnded = std::chrono::seconds(60);
+
+/** A limit below this fraction of the known one is reported at once, a smaller change with the next report. */
+constexpr double UrgentFraction = 0.9;
+
+/** Most limits that a host remembers; more than the targets that a fleet is designed for. */
+constexpr std::size_t MaxLimits = 16384;
+
+/** Most limits, and most counts, in one message, which has to fit into a datagram. */
+constexpr std::size_t MaxShared = 500;
+
+/** Calls @p visit for up to MaxShared entries of @p map from @p next on, and sets @p next to the one after them. */
+template <typename Map, typename Key, typename Visit>
+void visitNext(const Map &map, Key &next, Visit visit)
+{
+    auto entry = map.lower_bound(next);
+    for (std::size_t count = std::min(map.size(), MaxShared); count > 0; --count) {
+        entry = entry == map.end() ? map.begin() : entry;
+        visit(*entry);
+        ++entry;
+    }
+    next = entry == map.end() ? Key() : entry->first;
+}
+
+/** Returns the fraction of a request with which the process @p self takes charge of @p target. */
+double phaseOf(std::uint32_t self, std::uint32_t target)
+{
+    const std::uint32_t hash = shortHash(std::to_string(self) + '/' + std::to_string(target));
+    return static_cast<double>(hash) / (static_cast<double>(std::numeric_limits<std::uint32_t>::max()) + 1);
+}
+
+std::uint32_t ageMs(state::Time since, state::Time now)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+state::Duration keepFor(const TargetLimit &limit)
+{
+    return limit.ended ? KeepEnded : KeepStated;
+}
+
+/** Returns whether @p other replaces @p known. Of two changes that were made at once, the stricter one is in force. */
+bool isNewer(const TargetLimit &other, const TargetLimit &known)
+{
+    if (other.revision != known.revision) {
+        return other.revision > known.revision;
+    }
+    if (other.ended != known.ended) {
+        return known.ended;
+    }
+    return other.requestsPerSecond < known.requestsPerSecond;
+}
+
+} // namespace
+
+TargetLimits::TargetLimits(std::uint32_t self)
+    : m_self(self)
+{
+}
+
 bool TargetLimits::responded(std::uint32_t target, const RateStatement &statement, state::Time now)
 {
-    const auto found = m_limits.find(target);
+    const auto found = m_items.find(target);
+    const bool inForce = found != m_items.end() && !found->second.limit.ended;
     switch (statement.kind) {
     case RateStatement::Kind::Malformed:
         return false;
     case RateStatement::Kind::None:
-        if (found == m_limits.end() || found->second.ended) {
+        if (!inForce) {
             return false;
         }
-        found->second.ended = true;
-        found->second.statedAt = now;
+        found->second.limit.ended = true;
+        found->second.limit.statedAt = now;
+        ++found->second.limit.revision;
         return true;
     case RateStatement::Kind::Limit:
         break;
     }
-    const bool changed = found == m_limits.end() || found->second.ended
-        || found->second.requestsPerSecond != statement.requestsPerSecond;
-    m_limits[target] = { statement.requestsPerSecond, false, now };
+    if (found == m_items.end() && m_items.size() >= MaxLimits) {
+        return false;
+    }
+    // As a float, so that the value does not change on its way through messages.
+    const double stated = static_cast<float>(std::min(statement.requestsPerSecond, 1e9));
+    if (!inForce || stated < found->second.limit.requestsPerSecond * UrgentFraction) {
+        m_urgent = true;
+    }
+    TargetLimit &limit = itemOf(target, now).limit;
+    const bool changed = !inForce || limit.requestsPerSecond != stated;
+    limit = { stated, false, limit.revision + (changed ? 1 : 0), now };
     return changed;
 }
 
+void TargetLimits::merge(std::span<const LimitShare> shares, state::Time now)
+{
+    for (const LimitShare &share : shares) {
+        merge(share, now);
+    }
+}
+
+void TargetLimits::merge(const LimitShare &share, state::Time now)
+{
+    const TargetLimit other{
+        share.requestsPerSecond, share.ended, share.revision, now - std::chrono::milliseconds(share.ageMs)
+    };
+    if (other.requestsPerSecond < 0 || now - other.statedAt > keepFor(other)) {
+        return;
+    }
+    const auto found = m_items.find(share.target);
+    if (found == m_items.end() && m_items.size() >= MaxLimits) {
+        return;
+    }
+    if (found == m_items.end() || isNewer(other, found->second.limit)) {
+        itemOf(share.target, now).limit = other;
+        m_learned.push_back(share.target);
+        return;
+    }
+    TargetLimit &known = found->second.limit;
+    if (other.revision == known.revision && !known.ended && !other.ended) {
+        known.statedAt = std::max(known.statedAt, other.statedAt);
+    }
+}
+
+void TargetLimits::peerReported(const PeerReport &report, state::Time now)
+{
+    merge(report.limits, now);
+    PeerSends &peer = m_peers[report.host];
+    // What a peer sent before its first report to this host was no concern of this host.
+    const bool known = peer.incarnation == report.incarnation;
+    if (!known) {
+        peer = { report.incarnation, {} };
+    }
+    for (const SentShare &share : report.sent) {
+        std::uint32_t &before = peer.sent[{ share.target, share.decider }];
+        const std::uint32_t grown = share.requests > before ? share.requests - before : 0;
+        before = std::max(before, share.requests);
+        const auto found = m_items.find(share.target);
+        if (known && share.decider != m_self && found != m_items.end()) {
+            found->second.pacer.spend(grown, rateOf(found->second.limit, now));
+        }
+    }
+}
+
+void TargetLimits::setShare(double share, state::Time now)
+{
+    if (share > 0 && m_share <= 0) {
+        for (auto &[target, item] : m_items) {
+            item.pacer.takeCharge(now);
+        }
+    }
+    m_share = share;
+}
+
+bool TargetLimits::mayDispatch(std::uint32_t target, state::Time now)
+{
+    const auto found = m_items.find(target);
+    if (found == m_items.end() || !limits(found->second.limit, now)) {
+        return true;
+    }
+    found->second.pacer.refill(rateOf(found->second.limit, now) * m_share, now);
+    return found->second.pacer.ready();
+}
+
+void TargetLimits::dispatched(std::uint32_t target, state::Time now)
+{
+    const auto found = m_items.find(target);
+    if (found != m_items.end()) {
+        found->second.pacer.spend(1, rateOf(found->second.limit, now));
+    }
+}
+
+void TargetLimits::sent(std::uint32_t target, std::uint32_t decider)
+{
+    if (m_items.contains(target)) {
+        ++m_sent[{ target, decider }];
+    }
+}
+
+std::optional<double> TargetLimits::rate(std::uint32_t target, state::Time now) const
+{
+    const TargetLimit *limit = find(target);
+    return limit != nullptr && limits(*limit, now) ? std::optional(rateOf(*limit, now)) : std::nullopt;
+}
+
+std::vector<LimitShare> TargetLimits::shares(state::Time now)
+{
+    std::vector<LimitShare> result;
+    visitNext(m_items, m_nextShared, [&](const auto &entry) {
+        const TargetLimit &limit = entry.second.limit;
+        result.push_back({ entry.first,
+                           static_cast<float>(limit.requestsPerSecond),
+                           limit.revision,
+                           limit.ended,
+                           ageMs(limit.statedAt, now) });
+    });
+    return result;
+}
+
+std::vector<SentShare> TargetLimits::sentShares()
+{
+    std::vector<SentShare> result;
+    visitNext(m_sent, m_nextSentShared, [&](const auto &entry) {
+        result.push_back({ entry.first.first, entry.first.second, entry.second });
+    });
+    return result;
+}
+
+void TargetLimits::expire(state::Time now)
+{
+    std::erase_if(m_items, [now](const auto &entry) {
+        return now - entry.second.limit.statedAt > keepFor(entry.second.limit);
+    });
+    const auto isForgotten = [this](const auto &entry) {
+        return !m_items.contains(entry.first.first);
+    };
+    std::erase_if(m_sent, isForgotten);
+    for (auto &[host, peer] : m_peers) {
+        std::erase_if(peer.sent, isForgotten);
+    }
+}
+
+std::vector<std::uint32_t> TargetLimits::takeLearned()
+{
+    return std::exchange(m_learned, {});
+}
+
+bool TargetLimits::takeUrgent()
+{
+    return std::exchange(m_urgent, false);
+}
+
 const TargetLimit *TargetLimits::find(std::uint32_t target) const
 {
-    const auto found = m_limits.find(target);
-    return found == m_limits.end() ? nullptr : &found->second;
+    const auto found = m_items.find(target);
+    return found == m_items.end() ? nullptr : &found->second.limit;
 }
 
 std::size_t TargetLimits::inForce() const
 {
-    return static_cast<std::size_t>(std::count_if(m_limits.begin(), m_limits.end(), [](const auto &entry) {
-        return !entry.second.ended;
+    return static_cast<std::size_t>(std::count_if(m_items.begin(), m_items.end(), [](const auto &entry) {
+        return !entry.second.limit.ended;
     }));
 }
 
+/** Returns the item of @p target; a new one starts with the phase of this process. */
+TargetLimits::Item &TargetLimits::itemOf(std::uint32_t target, state::Time now)
+{
+    const auto found = m_items.find(target);
+    if (found != m_items.end()) {
+        return found->second;
+    }
+    Item &item = m_items.emplace(target, Item{ {}, RatePacer(phaseOf(m_self, target)) }).first->second;
+    item.pacer.takeCharge(now);
+    return item;
+}
+
+/** Returns the requests per second that @p limit leaves to all hosts at @p now. */
+double TargetLimits::rateOf(const TargetLimit &limit, state::Time now) const
+{
+    const double stated = std::max(MinRate, limit.requestsPerSecond);
+    if (!limit.ended) {
+        return stated;
+    }
+    const double doublings = state::toSeconds(std::min(now - limit.statedAt, EndRamp)) / EndDoublingSeconds;
+    return stated * std::exp2(std::max(0.0, doublings));
+}
+
+bool TargetLimits::limits(const TargetLimit &limit, state::Time now) const
+{
+    return !limit.ended || now - limit.statedAt < EndRamp;
+}
+
 } // namespace sapphirecove::coordination::entry
--- a/src/protocol/binarycodec.h
+++ b/src/protocol/binarycodec.h
@@ -155,4 +155,15 @@
     codec.real(share.usedInWindow);
 }
 
+/** Visits the fields of a LimitShare in wire order, for both BinaryWriter and BinaryReader. */
+template <typename Codec, typename Share>
+void visitLimit(Codec &codec, Share &share)
+{
+    codec.number(share.target);
+    codec.real(share.requestsPerSecond);
+    codec.number(share.revision);
+    codec.flag(share.ended);
+    codec.number(share.ageMs);
+}
+
 } // namespace sapphirecove::protocol
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -16,12 +16,23 @@
 using coordination::entry::ScheduledRequest;
 
 /** First four bytes of each message; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53434401;
+constexpr std::uint32_t Magic = 0x53434402;
 
-/** Encodes an absent number of expected output tokens; a number that is present is never negative. */
-constexpr double NoTokens = -1;
+/** Encodes an absent number; a number that is present is never negative. */
+constexpr double NoNumber = -1;
 
-/** Visits a duration, in microseconds. All visit functions serve BinaryWriter and BinaryReader, in wire order. */
+/** Visits a number that is not negative or absent. All visit functions serve BinaryWriter and BinaryReader. */
+template <typename Codec, typename Number>
+void visitOptional(Codec &codec, Number &number)
+{
+    double value = number.value_or(NoNumber);
+    codec.real(value);
+    if constexpr (!std::is_const_v<Number>) {
+        number = value >= 0 ? std::optional(value) : std::nullopt;
+    }
+}
+
+/** Visits a duration, in microseconds. */
 template <typename Codec, typename Duration>
 void visitDuration(Codec &codec, Duration &duration)
 {
@@ -34,6 +45,23 @@
     }
 }
 
+/** Visits a list: its length, then each element with @p visitElement. */
+template <typename Codec, typename List, typename VisitElement>
+void visitList(Codec &codec, List &list, VisitElement visitElement)
+{
+    auto count = static_cast<std::uint16_t>(list.size());
+    codec.number(count);
+    if constexpr (!std::is_const_v<List>) {
+        for (std::uint16_t i = 0; i < count && !codec.failed(); ++i) {
+            visitElement(list.emplace_back());
+        }
+    } else {
+        for (const auto &element : list) {
+            visitElement(element);
+        }
+    }
+}
+
 template <typename Codec, typename Value>
 void visitEnum(Codec &codec, Value &value, Value last)
 {
@@ -67,7 +95,7 @@
     visitDuration(writer, remaining);
     writer.flag(request.model);
     writer.real(request.promptTokens);
-    writer.real(request.expectedOutputTokens.value_or(NoTokens));
+    visitOptional(writer, request.expectedOutputTokens);
     writer.number(static_cast<std::uint8_t>(request.excludedTargets.size()));
     for (const auto &target : request.excludedTargets) {
         writer.text(target);
@@ -95,11 +123,7 @@
     request.deadline = now + remaining;
     reader.flag(request.model);
     reader.real(request.promptTokens);
-    double outputTokens = 0;
-    reader.real(outputTokens);
-    if (outputTokens >= 0) {
-        request.expectedOutputTokens = outputTokens;
-    }
+    visitOptional(reader, request.expectedOutputTokens);
     std::uint8_t excluded = 0;
     reader.number(excluded);
     for (std::uint8_t i = 0; i < excluded && !reader.failed(); ++i) {
@@ -133,6 +157,7 @@
     codec.number(target.slots);
     codec.number(decision.targetHash);
     codec.number(decision.targetRunning);
+    visitOptional(codec, decision.targetLimit);
     codec.real(decision.expectedFirstMs);
 }
 
@@ -182,17 +207,12 @@
     codec.number(reportReply.configuration);
     visitDuration(codec, reportReply.confirmedAge);
     codec.number(reportReply.liveHosts);
-    auto count = static_cast<std::uint16_t>(reportReply.quotas.size());
-    codec.number(count);
-    if constexpr (!std::is_const_v<Value>) {
-        for (std::uint16_t i = 0; i < count && !codec.failed(); ++i) {
-            visitQuota(codec, reportReply.quotas.emplace_back());
-        }
-    } else {
-        for (const auto &quota : reportReply.quotas) {
-            visitQuota(codec, quota);
-        }
-    }
+    visitList(codec, reportReply.quotas, [&codec](auto &quota) {
+        visitQuota(codec, quota);
+    });
+    visitList(codec, reportReply.limits, [&codec](auto &limit) {
+        visitLimit(codec, limit);
+    });
 }
 
 void write(BinaryWriter &writer, const DecisionRequest &decisionRequest, state::Time now)
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -11,13 +11,15 @@
 namespace {
 
 using coordination::entry::ActiveRequest;
+using coordination::entry::LimitShare;
 using coordination::entry::PeerReport;
 using coordination::entry::QuotaShare;
+using coordination::entry::SentShare;
 using coordination::entry::TargetShare;
 using coordination::entry::VersionShare;
 
 /** First four bytes of each report; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53435202;
+constexpr std::uint32_t Magic = 0x53435203;
 
 // Each visit function lists the fields of one struct in wire order, for both BinaryWriter and BinaryReader.
 
@@ -59,6 +61,22 @@
     codec.real(share.latencyRatioSum);
 }
 
+template <typename Codec, typename Share>
+requires std::same_as<std::remove_const_t<Share>, LimitShare>
+void visit(Codec &codec, Share &share)
+{
+    visitLimit(codec, share);
+}
+
+template <typename Codec, typename Share>
+requires std::same_as<std::remove_const_t<Share>, SentShare>
+void visit(Codec &codec, Share &share)
+{
+    codec.number(share.target);
+    codec.number(share.decider);
+    codec.number(share.requests);
+}
+
 template <typename Share>
 void writeList(BinaryWriter &writer, const std::vector<Share> &shares)
 {
@@ -105,6 +123,8 @@
     writeList(writer, report.active);
     writeList(writer, report.quotas);
     writeList(writer, report.versions);
+    writeList(writer, report.limits);
+    writeList(writer, report.sent);
     return writer.take();
 }
 
@@ -125,6 +145,8 @@
     readList(reader, report.active);
     readList(reader, report.quotas);
     readList(reader, report.versions);
+    readList(reader, report.limits);
+    readList(reader, report.sent);
     if (reader.failed() || !reader.atEnd()) {
         return state::fail(step, report.host, "malformed, truncated or followed by extra bytes");
     }
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -3,6 +3,7 @@
 #include "coordination/entry/confirmation.h"
 #include "transport/entry/callersession.h"
 #include "transport/entry/exchange.h"
+#include "transport/entry/format.h"
 #include "transport/log.h"
 #include "transport/operators/metricstext.h"
 #include "transport/sockets.h"
@@ -214,6 +215,7 @@
     m_fleet.setCanDecide(m_context.targetsCurrent, m_context.stopping);
     m_fleet.setTargetsConfirmed(m_context.targetsConfirmed, coordination::entry::maxTargetsAge(m_settings.bounds));
     m_fleet.tick(now);
+    logLearnedLimits(now);
     logDeciderChange(now);
     m_peers->sendDueReports(now);
     if (m_context.stopping) {
@@ -236,6 +238,19 @@
     m_scheduler->setDeciders(decides ? 1 : known);
 }
 
+/** Logs the limits of targets that have changed by what other hosts know. */
+void EntryHost::logLearnedLimits(state::Time now)
+{
+    for (const std::uint32_t hash : m_scheduler->limits().takeLearned()) {
+        const auto *target = m_scheduler->targets().findByHash(hash);
+        logEvent("target_limit_changed",
+                 { { "target", target == nullptr ? "unknown" : target->entry().id },
+                   { "target_hash", std::to_string(hash) },
+                   { "limit", describeLimit(m_scheduler->limits().find(hash), now) },
+                   { "source", "peer" } });
+    }
+}
+
 /** Logs the host that decides for this one if it has changed. */
 void EntryHost::logDeciderChange(state::Time now)
 {
--- a/src/transport/entry/entryhost.h
+++ b/src/transport/entry/entryhost.h
@@ -75,6 +75,7 @@
     void tick();
     void scheduleTick();
     void updatePeers(state::Time now);
+    void logLearnedLimits(state::Time now);
     void logDeciderChange(state::Time now);
     void waitForSignal();
     void reload();
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -237,6 +237,7 @@
                { "version", entry.softwareVersion },
                { "target_running", std::to_string(m_decision->targetRunning) },
                { "target_limit", describeLimit(m_context.scheduler.limits().find(m_decision->targetHash), now) },
+               { "decider_limit", describeRate(m_decision->targetLimit) },
                { "expected_first_ms", std::to_string(static_cast<int>(m_decision->expectedFirstMs)) },
                { "waited_ms", milliseconds(now - m_arrived) },
                { "attempt", std::to_string(m_triedTargets.size()) } });
--- a/src/transport/entry/format.h
+++ b/src/transport/entry/format.h
@@ -4,6 +4,7 @@
 #include "state/time.h"
 
 #include <cstdio>
+#include <optional>
 #include <string>
 
 namespace sapphirecove::transport::entry {
@@ -14,20 +15,25 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+/** Returns @p requestsPerSecond with its unit, or "none", for the log. */
+inline std::string describeRate(std::optional<double> requestsPerSecond)
+{
+    if (!requestsPerSecond) {
+        return "none";
+    }
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3g/s", *requestsPerSecond);
+    return text;
+}
+
 /** Returns @p limit with its unit and the age of the statement, or "none", for the log. */
 inline std::string describeLimit(const coordination::entry::TargetLimit *limit, state::Time now)
 {
     if (limit == nullptr || limit->ended) {
         return "none";
     }
-    char text[64];
-    std::snprintf(
-        text,
-        sizeof text,
-        "%.3g/s,age_ms:%lld",
-        limit->requestsPerSecond,
-        static_cast<long long>(std::chrono::duration_cast<std::chrono::milliseconds>(now - limit->statedAt).count()));
-    return text;
+    return describeRate(limit->requestsPerSecond) + ",age_ms:" + milliseconds(now - limit->statedAt)
+        + ",revision:" + std::to_string(limit->revision);
 }
 
 } // namespace sapphirecove::transport::entry
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -19,6 +19,9 @@
 /** Interval of reports to a candidate decider; three fit into the time until a host counts as unresponsive. */
 constexpr state::Duration ReportInterval = std::chrono::milliseconds(300);
 
+/** Least interval of reports with urgent news, which bounds their cost. */
+constexpr state::Duration UrgentReportInterval = std::chrono::milliseconds(75);
+
 } // namespace
 
 state::Result<std::unique_ptr<PeerChannel>> PeerChannel::create(ServingContext &context)
@@ -172,9 +175,13 @@
 {
     auto &fleet = m_context.fleet;
     std::string datagram;
+    m_urgent = fleet.takeUrgentReport() || m_urgent;
+    const state::Duration interval = m_urgent ? UrgentReportInterval : ReportInterval;
+    m_urgent = false;
     for (const auto *host : fleet.directory().reportRecipients(now)) {
         state::Time &sent = m_lastReportSent[host->name];
-        if (now - sent < ReportInterval) {
+        if (now - sent < interval) {
+            m_urgent = m_urgent || interval == UrgentReportInterval;
             continue;
         }
         if (datagram.empty()) {
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -143,7 +143,7 @@
             if (!simulatedHost->alive || simulatedHost->paused) {
                 continue;
             }
-            if (m_now - simulatedHost->reportedAt >= ReportInterval) {
+            if (simulatedHost->fleet.takeUrgentReport() || m_now - simulatedHost->reportedAt >= ReportInterval) {
                 simulatedHost->reportedAt = m_now;
                 report(simulatedHost->number);
             }
--- a/tests/protocol/testdecidercodec.cpp
+++ b/tests/protocol/testdecidercodec.cpp
@@ -88,6 +88,7 @@
     {
         reply.decision.target = { "i-7", "llm", "10.2.0.9", 8001, "accra-osu", "v1", 6 };
         reply.decision.targetHash = 77;
+        reply.decision.targetLimit = 2.5;
         const auto message = decode(encodeDeciderMessage(reply, Deployment, Sent));
         REQUIRE(message);
         const auto &received = std::get<DecisionReply>(*message);
@@ -96,6 +97,7 @@
         CHECK(received.decision.target.id == "i-7");
         CHECK(received.decision.target.port == 8001);
         CHECK(received.decision.targetHash == 77);
+        CHECK(received.decision.targetLimit == 2.5);
     }
     SECTION("a refusal")
     {
@@ -119,11 +121,14 @@
     reportReply.configuration = 12;
     reportReply.confirmedAge = milliseconds(1234);
     reportReply.quotas.push_back({ 1, 2.5, 3.5F });
+    reportReply.limits.push_back({ 7, 0.5F, 3, false, 1200 });
     const auto reportReplyMessage = decode(encodeDeciderMessage(reportReply, Deployment, Sent));
     REQUIRE(reportReplyMessage);
     CHECK(std::get<ReportReply>(*reportReplyMessage).confirmedAge == milliseconds(1234));
     CHECK(std::get<ReportReply>(*reportReplyMessage).qualified);
     CHECK(std::get<ReportReply>(*reportReplyMessage).quotas.at(0).usedInWindow == 3.5F);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).limits.at(0).requestsPerSecond == 0.5F);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).limits.at(0).ageMs == 1200);
 }
 
 // Guards against truncated or damaged datagrams that make the decoder read out of bounds.
