Send the limits of targets only to hosts that may not know them

Cause: with every target of a large service in need, lists of all limits in each report and each reply would have taken 17 Mbit/s of the 30 between regions at 195 hosts and 99 targets (arithmetic: 17 bytes a limit, 3.3 reports a second to four candidates, half of them far). Ruled out: lists of recent changes only, which leave a restarted host without the older ones. Change: reports and replies carry a digest of all limits; the list follows where the digests differ. Requests sent to limited targets are named for 2 s after the last one.

--- a/src/coordination/entry/decidermessages.h
+++ b/src/coordination/entry/decidermessages.h
@@ -82,7 +82,8 @@
     state::Duration confirmedAge{}; /**< since the metadata store last certainly held that version as its newest */
     std::uint32_t liveHosts = 0; /**< hosts whose reports it gets, itself included */
     std::vector<QuotaShare> quotas; /**< use by all hosts */
-    std::vector<LimitShare> limits;
+    std::uint32_t limitsDigest = 0; /**< see TargetLimits::digest() */
+    std::vector<LimitShare> limits; /**< only sent if the digest differs from that of the report */
 };
 
 /** Returns a hash that identifies a process in reports. */
--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -111,7 +111,7 @@
     const std::uint64_t id = reply.decision.request;
     if (auto decision = m_pendingDecisions.handleReply(reply.decider, reply, now)) {
         if (!decision->refusal) {
-            begin(*decision, reply.decider, processHash(reply.decider, reply.deciderIncarnation));
+            begin(*decision, reply.decider, processHash(reply.decider, reply.deciderIncarnation), now);
         }
         m_promptTokens.erase(id);
         decision->decider = reply.decider;
@@ -162,7 +162,11 @@
     reply.canDecide = canDecide(now);
     reply.qualified = qualified(now);
     reply.liveHosts = static_cast<std::uint32_t>(peers.liveHosts());
-    reply.limits = m_scheduler.limits().shares(now);
+    TargetLimits &limits = m_scheduler.limits();
+    reply.limitsDigest = limits.digest();
+    if (reply.limitsDigest != report.limitsDigest) {
+        reply.limits = limits.shares(now);
+    }
     if (isActiveDecider(now)) {
         if (now - m_sharesAt >= ShareInterval) {
             m_sharesAt = now;
@@ -181,7 +185,7 @@
             continue;
         }
         if (!decision.refusal) {
-            begin(decision, {}, m_selfHash);
+            begin(decision, {}, m_selfHash, now);
         }
         m_promptTokens.erase(decision.request);
         decision.decider = m_self.host;
@@ -189,9 +193,12 @@
     }
 }
 
-void FleetScheduler::begin(const Decision &decision, std::string_view decider, std::uint32_t deciderHash)
+void FleetScheduler::begin(const Decision &decision,
+                           std::string_view decider,
+                           std::uint32_t deciderHash,
+                           state::Time now)
 {
-    m_scheduler.limits().sent(decision.targetHash, deciderHash);
+    m_scheduler.limits().sent(decision.targetHash, deciderHash, now);
     const auto tokens = m_promptTokens.find(decision.request);
     m_active[decision.request] = {
         std::string(decider), deciderHash, decision.targetHash, tokens == m_promptTokens.end() ? 0 : tokens->second
@@ -273,6 +280,19 @@
         report.targets.push_back(share);
     }
     m_scheduler.fillReport(report, now);
+    if (limitsDifferAtRecipients(report.limitsDigest, now)) {
+        report.limits = m_scheduler.limits().shares(now);
+    }
+}
+
+/** Returns whether a recipient of this host's reports may know other limits than those with @p digest. */
+bool FleetScheduler::limitsDifferAtRecipients(std::uint32_t digest, state::Time now) const
+{
+    const auto recipients = m_directory.reportRecipients(now);
+    return std::any_of(recipients.begin(), recipients.end(), [&](const KnownHost *host) {
+        const ReportReply *reply = m_directory.latestReplyOf(host->name);
+        return reply == nullptr || reply->limitsDigest != digest;
+    });
 }
 
 void FleetScheduler::setCanDecide(bool targetsKnown, bool stopping)
--- a/src/coordination/entry/fleetscheduler.h
+++ b/src/coordination/entry/fleetscheduler.h
@@ -142,7 +142,8 @@
     bool qualified(state::Time now) const;
     double limitShare(state::Time now) const;
     void submitLocally(const ScheduledRequest &request, state::Time now);
-    void begin(const Decision &decision, std::string_view decider, std::uint32_t deciderHash);
+    void begin(const Decision &decision, std::string_view decider, std::uint32_t deciderHash, state::Time now);
+    bool limitsDifferAtRecipients(std::uint32_t digest, state::Time now) const;
     void sendUpdate(const std::string &decider,
                     std::uint64_t request,
                     AttemptUpdate::Kind kind,
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -77,7 +77,8 @@
     std::vector<ActiveRequest> active;
     std::vector<QuotaShare> quotas;
     std::vector<VersionShare> versions;
-    std::vector<LimitShare> limits;
+    std::uint32_t limitsDigest = 0; /**< of all limits that the sender knows, see TargetLimits::digest() */
+    std::vector<LimitShare> limits; /**< only sent if a recipient may know others */
     std::vector<SentShare> sent;
 };
 
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -322,8 +322,8 @@
 {
     report.quotas = m_quotas.shares(now);
     report.versions = m_rollouts.shares();
-    report.limits = m_limits.shares(now);
-    report.sent = m_limits.sentShares();
+    report.limitsDigest = m_limits.digest();
+    report.sent = m_limits.sentShares(now);
 }
 
 /**
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -97,7 +97,10 @@
     /** Drops targets whose entries lapsed with the store and were not restored, and outdated limits. */
     void expireTargets(state::Time now);
 
-    /** Adds this host's admitted quota costs, rollout counts and limits of targets to the report to the deciders. */
+    /**
+     * Adds this host's admitted quota costs, rollout counts and requests to targets with a limit to the report to the
+     * deciders.
+     */
     void fillReport(PeerReport &report, state::Time now);
 
     std::size_t waiting() const
--- a/src/coordination/entry/targetlimits.cpp
+++ b/src/coordination/entry/targetlimits.cpp
@@ -36,18 +36,8 @@
 /** Most limits, and most counts, in one message, which has to fit into a datagram. */
 constexpr std::size_t MaxShared = 500;
 
-/** Calls @p visit for up to MaxShared entries of @p map from @p next on, and sets @p next to the one after them. */
-template <typename Map, typename Key, typename Visit>
-void visitNext(const Map &map, Key &next, Visit visit)
-{
-    auto entry = map.lower_bound(next);
-    for (std::size_t count = std::min(map.size(), MaxShared); count > 0; --count) {
-        entry = entry == map.end() ? map.begin() : entry;
-        visit(*entry);
-        ++entry;
-    }
-    next = entry == map.end() ? Key() : entry->first;
-}
+/** Time for which reports name a host's requests to a target, so that a lost report does not matter. */
+constexpr state::Duration ReportSendsFor = std::chrono::seconds(2);
 
 /** Returns the fraction of a request with which the process @p self takes charge of @p target. */
 double phaseOf(std::uint32_t self, std::uint32_t target)
@@ -158,9 +148,10 @@
         peer = { report.incarnation, {} };
     }
     for (const SentShare &share : report.sent) {
-        std::uint32_t &before = peer.sent[{ share.target, share.decider }];
-        const std::uint32_t grown = share.requests > before ? share.requests - before : 0;
-        before = std::max(before, share.requests);
+        const auto [before, added] = peer.sent.try_emplace({ share.target, share.decider }, share.requests);
+        // A new entry, or one that was not reported for a while, has just grown by its last request.
+        const std::uint32_t grown = added ? 1 : share.requests - std::min(before->second, share.requests);
+        before->second = share.requests;
         const auto found = m_items.find(share.target);
         if (known && share.decider != m_self && found != m_items.end()) {
             found->second.pacer.spend(grown, rateOf(found->second.limit, now));
@@ -196,10 +187,12 @@
     }
 }
 
-void TargetLimits::sent(std::uint32_t target, std::uint32_t decider)
+void TargetLimits::sent(std::uint32_t target, std::uint32_t decider, state::Time now)
 {
     if (m_items.contains(target)) {
-        ++m_sent[{ target, decider }];
+        Sends &sends = m_sent[{ target, decider }];
+        ++sends.requests;
+        sends.last = now;
     }
 }
 
@@ -209,26 +202,43 @@
     return limit != nullptr && limits(*limit, now) ? std::optional(rateOf(*limit, now)) : std::nullopt;
 }
 
+std::uint32_t TargetLimits::digest() const
+{
+    std::uint32_t digest = 0;
+    for (const auto &[target, item] : m_items) {
+        const TargetLimit &limit = item.limit;
+        digest ^= shortHash(std::to_string(target) + '/' + std::to_string(limit.revision) + (limit.ended ? "/-" : "/+")
+                            + std::to_string(limit.requestsPerSecond));
+    }
+    return digest;
+}
+
 std::vector<LimitShare> TargetLimits::shares(state::Time now)
 {
     std::vector<LimitShare> result;
-    visitNext(m_items, m_nextShared, [&](const auto &entry) {
-        const TargetLimit &limit = entry.second.limit;
-        result.push_back({ entry.first,
+    auto entry = m_items.lower_bound(m_nextShared);
+    while (result.size() < std::min(m_items.size(), MaxShared)) {
+        entry = entry == m_items.end() ? m_items.begin() : entry;
+        const TargetLimit &limit = entry->second.limit;
+        result.push_back({ entry->first,
                            static_cast<float>(limit.requestsPerSecond),
                            limit.revision,
                            limit.ended,
                            ageMs(limit.statedAt, now) });
-    });
+        ++entry;
+    }
+    m_nextShared = entry == m_items.end() ? 0 : entry->first;
     return result;
 }
 
-std::vector<SentShare> TargetLimits::sentShares()
+std::vector<SentShare> TargetLimits::sentShares(state::Time now) const
 {
     std::vector<SentShare> result;
-    visitNext(m_sent, m_nextSentShared, [&](const auto &entry) {
-        result.push_back({ entry.first.first, entry.first.second, entry.second });
-    });
+    for (const auto &[key, sends] : m_sent) {
+        if (now - sends.last < ReportSendsFor && result.size() < MaxShared) {
+            result.push_back({ key.first, key.second, sends.requests });
+        }
+    }
     return result;
 }
 
--- a/src/coordination/entry/targetlimits.h
+++ b/src/coordination/entry/targetlimits.h
@@ -63,16 +63,19 @@
     void dispatched(std::uint32_t target, state::Time now);
 
     /** Counts a request that this host sends to @p target on a decision of @p decider, for its reports. */
-    void sent(std::uint32_t target, std::uint32_t decider);
+    void sent(std::uint32_t target, std::uint32_t decider, state::Time now);
 
     /** Returns the requests per second that @p target accepts from all hosts; nothing if it states no limit. */
     std::optional<double> rate(std::uint32_t target, state::Time now) const;
 
+    /** Returns a number that two hosts share if they know the same limits. */
+    std::uint32_t digest() const;
+
     /** Returns the limits for reports and for replies to them; if there are many, the next part of them. */
     std::vector<LimitShare> shares(state::Time now);
 
-    /** Returns the requests that this host has sent to targets with a limit; if there are many, the next part. */
-    std::vector<SentShare> sentShares();
+    /** Returns the requests that this host has recently sent to targets with a limit. */
+    std::vector<SentShare> sentShares(state::Time now) const;
 
     /** Drops limits that have ended or have not been stated for long. */
     void expire(state::Time now);
@@ -98,6 +101,12 @@
 
     using TargetAndDecider = std::pair<std::uint32_t, std::uint32_t>;
 
+    struct Sends
+    {
+        std::uint32_t requests = 0;
+        state::Time last{};
+    };
+
     struct PeerSends
     {
         std::uint64_t incarnation = 0;
@@ -112,9 +121,8 @@
     std::uint32_t m_self;
     double m_share = 1;
     std::map<std::uint32_t, Item> m_items;
-    std::map<TargetAndDecider, std::uint32_t> m_sent; /**< by this host since a limit of the target is known */
+    std::map<TargetAndDecider, Sends> m_sent; /**< by this host since a limit of the target is known */
     std::uint32_t m_nextShared = 0; /**< where shares() goes on */
-    TargetAndDecider m_nextSentShared; /**< where sentShares() goes on */
     std::map<std::string, PeerSends, std::less<>> m_peers;
     std::vector<std::uint32_t> m_learned;
     bool m_urgent = false;
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -210,6 +210,7 @@
     visitList(codec, reportReply.quotas, [&codec](auto &quota) {
         visitQuota(codec, quota);
     });
+    codec.number(reportReply.limitsDigest);
     visitList(codec, reportReply.limits, [&codec](auto &limit) {
         visitLimit(codec, limit);
     });
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -123,6 +123,7 @@
     writeList(writer, report.active);
     writeList(writer, report.quotas);
     writeList(writer, report.versions);
+    writer.number(report.limitsDigest);
     writeList(writer, report.limits);
     writeList(writer, report.sent);
     return writer.take();
@@ -145,6 +146,7 @@
     readList(reader, report.active);
     readList(reader, report.quotas);
     readList(reader, report.versions);
+    reader.number(report.limitsDigest);
     readList(reader, report.limits);
     readList(reader, report.sent);
     if (reader.failed() || !reader.atEnd()) {
--- a/tests/protocol/testdecidercodec.cpp
+++ b/tests/protocol/testdecidercodec.cpp
@@ -121,6 +121,7 @@
     reportReply.configuration = 12;
     reportReply.confirmedAge = milliseconds(1234);
     reportReply.quotas.push_back({ 1, 2.5, 3.5F });
+    reportReply.limitsDigest = 98;
     reportReply.limits.push_back({ 7, 0.5F, 3, false, 1200 });
     const auto reportReplyMessage = decode(encodeDeciderMessage(reportReply, Deployment, Sent));
     REQUIRE(reportReplyMessage);
@@ -129,6 +130,7 @@
     CHECK(std::get<ReportReply>(*reportReplyMessage).quotas.at(0).usedInWindow == 3.5F);
     CHECK(std::get<ReportReply>(*reportReplyMessage).limits.at(0).requestsPerSecond == 0.5F);
     CHECK(std::get<ReportReply>(*reportReplyMessage).limits.at(0).ageMs == 1200);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).limitsDigest == 98);
 }
 
 // Guards against truncated or damaged datagrams that make the decoder read out of bounds.
--- a/tests/protocol/testpeerreportcodec.cpp
+++ b/tests/protocol/testpeerreportcodec.cpp
@@ -32,6 +32,7 @@
     report.active.push_back({ 8, 1234567890123ULL });
     report.quotas.push_back({ 3, 1e9, 1.5e6F });
     report.versions.push_back({ 4, 5, 6, 100, 90, 10, 95.5F });
+    report.limitsDigest = 99;
     report.limits.push_back({ 7, 2.5F, 3, true, 1200 });
     report.sent.push_back({ 7, 8, 9 });
     return report;
@@ -79,6 +80,7 @@
     REQUIRE(received->versions.size() == 1);
     CHECK(received->versions[0].bad == 10);
     CHECK(received->versions[0].latencyRatioSum == 95.5F);
+    CHECK(received->limitsDigest == 99);
     REQUIRE(received->limits.size() == 1);
     CHECK(received->limits[0].requestsPerSecond == 2.5F);
     CHECK(received->limits[0].revision == 3);
