Keep the part of a limit that belongs to hosts which stopped reporting

What callers saw: nothing; found by a new test. When many hosts lost the decider for over 30 s, each took itself for the whole fleet: 46 and 75 requests in 4 s at a limit of 1 a second, allowed 11. Cause: the part of a limit was taken from the peer table, which forgets hosts after 30 s, and at hosts that get no reports holds none at all. Evidence: only the windows later than 30 s after the start failed. Change: a decider counts hosts that reported within 10 min; a host that decides without requests of others counts all that it knows from the directory. Tests: a decider that learns only from other hosts; 40 hosts alone at once, at a limit that four have read; a partition for 42 s; the rate after the end of a limit.

--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -322,13 +322,18 @@
  */
 double FleetScheduler::limitShare(state::Time now) const
 {
+    const auto &peers = m_scheduler.peers();
+    const std::size_t reporting = std::max(peers.knownCount(), m_scheduler.limits().knownPeers()) + 1;
+    if (isActiveDecider(now)) {
+        return static_cast<double>(peers.liveHosts()) / static_cast<double>(reporting);
+    }
     const auto decider = m_directory.decider(now);
-    const bool decidesForOthers = isActiveDecider(now) || (decider && *decider == m_self.host);
-    if (decidesForOthers) {
-        const auto &peers = m_scheduler.peers();
-        return static_cast<double>(peers.liveHosts()) / static_cast<double>(peers.knownCount() + 1);
+    if (decider && *decider != m_self.host) {
+        return 0;
     }
-    return decider ? 0 : 1 / static_cast<double>(std::max(m_directory.size(), hosts(now)));
+    // Hosts that are not candidates get no reports and know the fleet from the directory.
+    const std::size_t heard = decider ? peers.liveHosts() : 1;
+    return static_cast<double>(heard) / static_cast<double>(std::max(reporting, m_directory.size()));
 }
 
 bool FleetScheduler::canDecide(state::Time now) const
--- a/src/coordination/entry/targetlimits.cpp
+++ b/src/coordination/entry/targetlimits.cpp
@@ -27,6 +27,9 @@
 constexpr state::Duration KeepStated = std::chrono::minutes(10);
 constexpr state::Duration KeepEnded = std::chrono::seconds(60);
 
+/** Time for which a host that stopped reporting counts as cut off, with its part of all limits, and not as removed. */
+constexpr state::Duration KeepPeers = std::chrono::minutes(10);
+
 /** A limit below this fraction of the known one is reported at once, a smaller change with the next report. */
 constexpr double UrgentFraction = 0.9;
 
@@ -141,12 +144,13 @@
 void TargetLimits::peerReported(const PeerReport &report, state::Time now)
 {
     merge(report.limits, now);
-    PeerSends &peer = m_peers[report.host];
+    PeerState &peer = m_peers[report.host];
     // What a peer sent before its first report to this host was no concern of this host.
     const bool known = peer.incarnation == report.incarnation;
     if (!known) {
-        peer = { report.incarnation, {} };
+        peer = { report.incarnation, now, {} };
     }
+    peer.reportedAt = now;
     for (const SentShare &share : report.sent) {
         const auto [before, added] = peer.sent.try_emplace({ share.target, share.decider }, share.requests);
         // A new entry, or one that was not reported for a while, has just grown by its last request.
@@ -251,6 +255,9 @@
         return !m_items.contains(entry.first.first);
     };
     std::erase_if(m_sent, isForgotten);
+    std::erase_if(m_peers, [now](const auto &entry) {
+        return now - entry.second.reportedAt > KeepPeers;
+    });
     for (auto &[host, peer] : m_peers) {
         std::erase_if(peer.sent, isForgotten);
     }
--- a/src/coordination/entry/targetlimits.h
+++ b/src/coordination/entry/targetlimits.h
@@ -53,6 +53,12 @@
     /** Processes the limits in @p report, and the requests in it that other hosts decided. */
     void peerReported(const PeerReport &report, state::Time now);
 
+    /** Returns how many other hosts have reported within the last minutes. */
+    std::size_t knownPeers() const
+    {
+        return m_peers.size();
+    }
+
     /** Sets the part of all limits that this host may use, from 0, while another host decides, to 1. */
     void setShare(double share, state::Time now);
 
@@ -107,9 +113,10 @@
         state::Time last{};
     };
 
-    struct PeerSends
+    struct PeerState
     {
         std::uint64_t incarnation = 0;
+        state::Time reportedAt{};
         std::map<TargetAndDecider, std::uint32_t> sent;
     };
 
@@ -123,7 +130,7 @@
     std::map<std::uint32_t, Item> m_items;
     std::map<TargetAndDecider, Sends> m_sent; /**< by this host since a limit of the target is known */
     std::uint32_t m_nextShared = 0; /**< where shares() goes on */
-    std::map<std::string, PeerSends, std::less<>> m_peers;
+    std::map<std::string, PeerState, std::less<>> m_peers;
     std::vector<std::uint32_t> m_learned;
     bool m_urgent = false;
 };
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -150,6 +150,7 @@
             if (m_now - simulatedHost->lastTick >= TickInterval) {
                 simulatedHost->lastTick = m_now;
                 simulatedHost->scheduler->peers().expire(simulatedHost->scheduler->targets(), m_now);
+                simulatedHost->scheduler->expireTargets(m_now);
                 if (simulatedHost->discovers) {
                     simulatedHost->fleet.setTargetsConfirmed(m_now, TargetsAge);
                 }
--- a/tests/coordination/entry/testfleetlimits.cpp
+++ b/tests/coordination/entry/testfleetlimits.cpp
@@ -53,6 +53,12 @@
         }
     }
 
+    /** Sets the hosts that get no requests. */
+    void setIdle(std::set<int> hosts)
+    {
+        m_idle = std::move(hosts);
+    }
+
     /** Lets @p perSecond requests arrive at random hosts for @p duration. */
     void load(state::Duration duration, int perSecond = 50)
     {
@@ -63,7 +69,7 @@
             request.latencyTarget = seconds(1);
             request.deadline = m_fleet.now() + seconds(10);
             const int at = host(m_random);
-            if (!m_stopped.contains(at)) {
+            if (!m_stopped.contains(at) && !m_idle.contains(at)) {
                 m_submitted.emplace_back(m_fleet.submit(at, request, milliseconds(400)), at);
             }
             m_fleet.runUntil(m_fleet.now() + state::Duration(seconds(1)) / perSecond);
@@ -235,6 +241,7 @@
     std::vector<Statement> m_history;
     std::vector<Disruption> m_disruptions;
     std::set<int> m_stopped;
+    std::set<int> m_idle;
     std::vector<std::pair<std::uint64_t, int>> m_submitted;
 };
 
@@ -307,12 +314,65 @@
         } else {
             scenario.cut({ 0, 1, 2, 3, 4 }, true);
         }
-        scenario.load(seconds(10));
+        // Longer than hosts that stopped reporting count as peers.
+        scenario.load(PeerTable::ForgetAfter + seconds(12));
         CHECK(scenario.excess() <= 0);
         // The rule excuses hosts that are cut off, but the target asked all of them.
-        const std::size_t arrivals = scenario.arrivals(begin + seconds(2), begin + seconds(10));
-        CHECK(static_cast<double>(arrivals) <= AllowedShare * 4 * 8 + AllowedSlack);
+        for (state::Time from = begin + seconds(2); from + Window < scenario.fleet().now(); from += Window) {
+            const std::size_t arrivals = scenario.arrivals(from, from + Window);
+            CHECK(static_cast<double>(arrivals) <= AllowedShare * 4 * 4 + AllowedSlack);
+        }
+    }
+}
+
+// Guards against a limit that stays with the hosts that read it.
+TEST_CASE("a decider learns a limit that only other hosts have read", "[entry][fleet][limit]")
+{
+    LimitScenario scenario({ 8, 3, 12 });
+    scenario.load(seconds(2));
+    REQUIRE(scenario.fleet().deciders().size() == 1);
+    scenario.setIdle({ scenario.fleet().deciders().front() });
+    scenario.state(limitOf(2));
+    scenario.load(seconds(8));
+    CHECK(scenario.excess() <= 0);
+}
+
+// Guards against hosts that each send a request at once when they lose the decider, as they read no limit or saved up.
+TEST_CASE("many hosts that have to decide alone at once keep to a limit that few have read", "[entry][fleet][limit]")
+{
+    constexpr int hosts = 40;
+    LimitScenario scenario({ hosts, 3, 12 });
+    std::set<int> idle;
+    for (int host = 4; host < hosts; ++host) {
+        idle.insert(host);
     }
+    scenario.setIdle(idle);
+    scenario.load(seconds(2));
+    scenario.state(limitOf(1));
+    scenario.load(seconds(8));
+    scenario.setIdle({});
+    for (int host = 0; host < hosts; ++host) {
+        scenario.cut({ host }, true);
+    }
+    for (int i = 0; i < 6; ++i) {
+        const state::Time begin = scenario.fleet().now();
+        scenario.load(Window);
+        CHECK(static_cast<double>(scenario.arrivals(begin, begin + Window)) <= AllowedShare * 1 * 4 + AllowedSlack);
+    }
+}
+
+// Guards against a target that was in need and gets all waiting requests at once when it no longer states a limit.
+TEST_CASE("the rate at a target grows step by step after its limit has ended", "[entry][fleet][limit]")
+{
+    LimitScenario scenario({ 6, 3, 12 });
+    scenario.load(seconds(2));
+    scenario.state(limitOf(2));
+    scenario.load(seconds(5));
+    const state::Time ended = scenario.fleet().now();
+    scenario.state({});
+    scenario.load(seconds(8));
+    CHECK(scenario.arrivals(ended, ended + seconds(1)) <= 2 * 4); // The rate has doubled twice at most.
+    CHECK(scenario.arrivals(ended + seconds(5), ended + seconds(8)) >= 30);
 }
 
 // Guards against an outdated limit, and against a malformed one that is taken for none.
