Keep quotas in a partition that lasts longer than half a minute

Evidence: the new test fails with a memory of 30 s and passes with 10 min. Ruled out: a longer memory for all that the peer table does, since its other users want hosts that are gone to be gone. Change: PeerTable::fleetCount() counts hosts that reported within 10 min, without those that said that they stop. FleetScheduler sets the part for quotas and limits alike, so that transport/ decides nothing about it; usage reports of peers are processed there too. RatePacer lost a state that no test needed.

--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -146,6 +146,7 @@
 void FleetScheduler::received(const PeerReport &report, state::Time now)
 {
     m_remoteRequests.handleReport(report, now);
+    m_scheduler.quotas().peerReported(report, now);
     m_scheduler.limits().peerReported(report, now);
     if (m_scheduler.waiting() > 0) {
         decide(now);
@@ -222,7 +223,7 @@
     detectPause(now);
     m_lastTick = now;
     m_directory.setSelf(canDecide(now), qualified(now));
-    m_scheduler.limits().setShare(limitShare(now), now);
+    updateShares(now);
     m_remoteRequests.expire(now);
     sendDecisionRequests(now);
     if (m_scheduler.waiting() > 0) {
@@ -317,23 +318,22 @@
 }
 
 /**
- * Returns the part of the targets' limits that this host may use: that of the hosts that it hears if it decides for
- * them, its own if it has to decide alone, nothing while another host decides.
+ * Sets the part of everything that the fleet shares, quotas and the targets' limits, which this host may use: that of
+ * the hosts that it hears if it decides for them, its own if it has to decide alone.
  */
-double FleetScheduler::limitShare(state::Time now) const
+void FleetScheduler::updateShares(state::Time now)
 {
     const auto &peers = m_scheduler.peers();
-    const std::size_t reporting = std::max(peers.knownCount(), m_scheduler.limits().knownPeers()) + 1;
-    if (isActiveDecider(now)) {
-        return static_cast<double>(peers.liveHosts()) / static_cast<double>(reporting);
-    }
     const auto decider = m_directory.decider(now);
-    if (decider && *decider != m_self.host) {
-        return 0;
-    }
+    const bool asked = isActiveDecider(now);
+    const std::size_t heard = asked || (decider && *decider == m_self.host) ? peers.liveHosts() : 1;
     // Hosts that are not candidates get no reports and know the fleet from the directory.
-    const std::size_t heard = decider ? peers.liveHosts() : 1;
-    return static_cast<double>(heard) / static_cast<double>(std::max(reporting, m_directory.size()));
+    const std::size_t reporting = peers.fleetCount() + 1;
+    const std::size_t fleet = asked ? reporting : std::max({ reporting, m_directory.size(), hosts(now) });
+    const double share = static_cast<double>(heard) / static_cast<double>(fleet);
+    m_scheduler.quotas().setReachableShare(share);
+    const bool otherDecides = !asked && decider && *decider != m_self.host;
+    m_scheduler.limits().setShare(otherDecides ? 0 : share, now);
 }
 
 bool FleetScheduler::canDecide(state::Time now) const
--- a/src/coordination/entry/fleetscheduler.h
+++ b/src/coordination/entry/fleetscheduler.h
@@ -140,7 +140,7 @@
 
     void detectPause(state::Time now);
     bool qualified(state::Time now) const;
-    double limitShare(state::Time now) const;
+    void updateShares(state::Time now);
     void submitLocally(const ScheduledRequest &request, state::Time now);
     void begin(const Decision &decision, std::string_view decider, std::uint32_t deciderHash, state::Time now);
     bool limitsDifferAtRecipients(std::uint32_t digest, state::Time now) const;
--- a/src/coordination/entry/peertable.cpp
+++ b/src/coordination/entry/peertable.cpp
@@ -32,6 +32,7 @@
     if (peer.live) {
         count(peer, -1, targets);
     }
+    m_lastReports[report.host] = { now, report.stopping };
     peer.report = std::move(report);
     peer.lastReportAt = now;
     peer.live = true;
@@ -53,6 +54,10 @@
         const Peer &peer = entry.second;
         return !peer.live && now - std::max(peer.lastReportAt, peer.addedAt) > ForgetAfter;
     });
+    std::erase_if(m_lastReports, [now](const auto &entry) {
+        const LastReport &last = entry.second;
+        return now - last.at > (last.stopping ? ForgetAfter : CutOffFor);
+    });
     return expired;
 }
 
--- a/src/coordination/entry/peertable.h
+++ b/src/coordination/entry/peertable.h
@@ -4,6 +4,7 @@
 #include "coordination/entry/targettable.h"
 #include "state/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -38,6 +39,12 @@
     /** Time without reports after which a peer is removed. */
     static constexpr state::Duration ForgetAfter = std::chrono::seconds(30);
 
+    /**
+     * Time for which a peer that stopped reporting, without having said that it stops, counts as cut off: partitions of
+     * some minutes are usual.
+     */
+    static constexpr state::Duration CutOffFor = std::chrono::minutes(10);
+
     /** Adds a peer or updates its address. */
     void addPeer(const std::string &host, const std::string &address, std::uint16_t port, state::Time now);
 
@@ -65,6 +72,12 @@
         return m_peers.size();
     }
 
+    /** Returns how many peers the fleet has: those that are known, or that may be cut off from this host. */
+    std::size_t fleetCount() const
+    {
+        return std::max(m_peers.size(), m_lastReports.size());
+    }
+
     const std::map<std::string, Peer, std::less<>> &peers() const
     {
         return m_peers;
@@ -73,8 +86,15 @@
 private:
     void count(const Peer &peer, int sign, TargetTable &targets) const;
 
+    struct LastReport
+    {
+        state::Time at{};
+        bool stopping = false;
+    };
+
     std::uint32_t m_self;
     std::map<std::string, Peer, std::less<>> m_peers;
+    std::map<std::string, LastReport, std::less<>> m_lastReports; /**< of peers that may be cut off, too */
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/ratepacer.cpp
+++ b/src/coordination/entry/ratepacer.cpp
@@ -14,25 +14,22 @@
 
 } // namespace
 
-RatePacer::RatePacer(double phase)
-    : m_phase(phase)
-    , m_level(phase)
+RatePacer::RatePacer(double phase, state::Time now)
+    : m_level(phase)
+    , m_updated(now)
 {
 }
 
-void RatePacer::takeCharge(state::Time now)
+void RatePacer::skip(state::Time now)
 {
-    m_level = std::min(m_level, m_phase);
-    m_updated = now;
+    m_updated = std::max(m_updated, now);
 }
 
 void RatePacer::refill(double rate, state::Time now)
 {
-    if (m_updated != state::Time() && now > m_updated) {
-        m_level += rate * state::toSeconds(now - m_updated);
-    }
+    m_level += rate * std::max(0.0, state::toSeconds(now - m_updated));
     m_level = std::min(m_level, std::max(1.0, rate * BurstSeconds));
-    m_updated = std::max(m_updated, now);
+    skip(now);
 }
 
 bool RatePacer::ready() const
--- a/src/coordination/entry/targetlimits.cpp
+++ b/src/coordination/entry/targetlimits.cpp
@@ -27,8 +27,8 @@
 constexpr state::Duration KeepStated = std::chrono::minutes(10);
 constexpr state::Duration KeepEnded = std::chrono::seconds(60);
 
-/** Time for which a host that stopped reporting counts as cut off, with its part of all limits, and not as removed. */
-constexpr state::Duration KeepPeers = std::chrono::minutes(10);
+/** Time for which the counts of a host that stopped reporting are kept. */
+constexpr state::Duration KeepPeers = std::chrono::seconds(60);
 
 /** A limit below this fraction of the known one is reported at once, a smaller change with the next report. */
 constexpr double UrgentFraction = 0.9;
@@ -42,7 +42,7 @@
 /** Time for which reports name a host's requests to a target, so that a lost report does not matter. */
 constexpr state::Duration ReportSendsFor = std::chrono::seconds(2);
 
-/** Returns the fraction of a request with which the process @p self takes charge of @p target. */
+/** Returns the fraction of a request to @p target with which the process @p self starts. */
 double phaseOf(std::uint32_t self, std::uint32_t target)
 {
     const std::uint32_t hash = shortHash(std::to_string(self) + '/' + std::to_string(target));
@@ -167,7 +167,7 @@
 {
     if (share > 0 && m_share <= 0) {
         for (auto &[target, item] : m_items) {
-            item.pacer.takeCharge(now);
+            item.pacer.skip(now);
         }
     }
     m_share = share;
@@ -293,9 +293,7 @@
     if (found != m_items.end()) {
         return found->second;
     }
-    Item &item = m_items.emplace(target, Item{ {}, RatePacer(phaseOf(m_self, target)) }).first->second;
-    item.pacer.takeCharge(now);
-    return item;
+    return m_items.emplace(target, Item{ {}, RatePacer(phaseOf(m_self, target), now) }).first->second;
 }
 
 /** Returns the requests per second that @p limit leaves to all hosts at @p now. */
--- a/src/coordination/entry/targetlimits.h
+++ b/src/coordination/entry/targetlimits.h
@@ -31,9 +31,8 @@
  *
  * A limit belongs to the target and all hosts together. Each host passes on what it knows in its reports and in its
  * replies to them, so that every host that may decide knows a limit that any of them has read. The host that decides
- * spreads all requests at the stated rate and counts what others decided from the hosts' reports. A host that does not
- * hear all hosts uses the part of the rate that belongs to those that it hears, so that the parts of a partitioned
- * fleet together stay within the limit.
+ * spreads all requests at the stated rate and counts what others decided from the hosts' reports. See setShare() for
+ * hosts that do not hear the whole fleet.
  */
 class TargetLimits
 {
@@ -53,12 +52,6 @@
     /** Processes the limits in @p report, and the requests in it that other hosts decided. */
     void peerReported(const PeerReport &report, state::Time now);
 
-    /** Returns how many other hosts have reported within the last minutes. */
-    std::size_t knownPeers() const
-    {
-        return m_peers.size();
-    }
-
     /** Sets the part of all limits that this host may use, from 0, while another host decides, to 1. */
     void setShare(double share, state::Time now);
 
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -233,8 +233,6 @@
     // A host that decides alone assumes that all other hosts do the same.
     const std::size_t known =
         decides ? peers.knownCount() + 1 : std::max(m_fleet.directory().size(), m_fleet.hosts(now));
-    const std::size_t heard = decides ? peers.liveHosts() : 1;
-    m_scheduler->quotas().setReachableShare(static_cast<double>(heard) / static_cast<double>(known));
     m_scheduler->setDeciders(decides ? 1 : known);
 }
 
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -120,7 +120,6 @@
     if (!scheduler.peers().receive(report, scheduler.targets(), now)) {
         return;
     }
-    scheduler.quotas().peerReported(report, now);
     m_context.fleet.received(report, now);
     if (!wasLive) {
         logEvent("peer_heard", { { "peer", report.host }, { "uptime_ms", std::to_string(report.uptimeMs) } });
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -125,6 +125,9 @@
     for (int i = 0; i < m_options.targets; ++i) {
         simulatedHost.scheduler->targets().listed(makeTarget("t" + std::to_string(i), m_options.slots));
     }
+    if (m_options.quotaRate > 0) {
+        simulatedHost.scheduler->quotas().configure(makeQuota("c", m_options.quotaRate, 0), true, m_now);
+    }
     simulatedHost.fleet.setCanDecide(true, false);
 }
 
--- a/tests/coordination/entry/simulatedfleet.h
+++ b/tests/coordination/entry/simulatedfleet.h
@@ -27,6 +27,7 @@
         std::uint32_t slots = 6;
         double loss = 0; /**< share of messages that are lost */
         std::uint32_t seed = 1;
+        double quotaRate = 0; /**< of the customer "c", in cost per second; 0 for no quota */
     };
 
     explicit SimulatedFleet(const Options &options);
--- a/tests/coordination/entry/testfleetscheduler.cpp
+++ b/tests/coordination/entry/testfleetscheduler.cpp
@@ -345,3 +345,43 @@
         CHECK(static_cast<double>(fleet.maxMessagesSent()) <= allowed);
     }
 }
+
+// Guards against the parts of a partitioned fleet that each admit a customer's whole quota once they forget the others.
+TEST_CASE("the parts of a partitioned fleet share a quota for as long as they are apart", "[entry][fleet][quota]")
+{
+    constexpr double rate = 4;
+    const state::entry::Bounds bounds;
+    SimulatedFleet::Options options{ 10, 3, 12 };
+    options.quotaRate = rate;
+    SimulatedFleet fleet(options);
+    fleet.runUntil(Start + Settling);
+    std::vector<std::pair<std::uint64_t, state::Time>> sent;
+    const auto load = [&](state::Duration duration) {
+        for (const state::Time end = fleet.now() + duration; fleet.now() < end;) {
+            ScheduledRequest request = makeRequest(0, 1, 600, fleet.now());
+            request.customer = "c";
+            request.cost = 1;
+            sent.emplace_back(fleet.submit(static_cast<int>(sent.size() % 10), request, milliseconds(300)),
+                              fleet.now());
+            fleet.runUntil(fleet.now() + milliseconds(25));
+        }
+    };
+    load(seconds(4));
+    for (int host = 0; host < 10; ++host) {
+        for (int other = 0; other < 10; ++other) {
+            fleet.setPartition(host, other, host != other && (host < 5) != (other < 5));
+        }
+    }
+    load(PeerTable::ForgetAfter + seconds(20));
+    for (auto begin = sent.begin(); begin != sent.end(); ++begin) {
+        double admitted = 0;
+        for (auto request = begin; request != sent.end() && request->second < begin->second + bounds.quotaWindow;
+             ++request) {
+            const auto decision = fleet.decisions().find(request->first);
+            admitted += decision != fleet.decisions().end() && !decision->second.refusal ? 1 : 0;
+        }
+        const double allowed =
+            rate * state::toSeconds(bounds.quotaWindow) * (1 + bounds.quotaOverage) + bounds.quotaSlack;
+        REQUIRE(admitted <= allowed);
+    }
+}
