--- a/tests/platform/testplatform.cpp
+++ b/tests/platform/testplatform.cpp
@@ -188,6 +188,29 @@
                 }).first);
 }
 
+// Guards against a time limit that overflows, or token counts that are no numbers and disable a quota.
+TEST_CASE("numbers in a caller's header that are not finite or far too large are not used", "[platform][headers]")
+{
+    const auto decode = [](const char *name, const char *value) {
+        boost::beast::http::request_header<> header;
+        header.set(name, value);
+        return attempt<transport::entry::RequestFields>([&] {
+                   return Codec().decodeRequest(header);
+               })
+            .first;
+    };
+    for (const char *value : { "nan", "inf", "-inf", "1e400" }) {
+        INFO(value);
+        REQUIRE(decode("X-Deadline-Ms", value));
+        CHECK_FALSE(decode("X-Deadline-Ms", value)->deadline);
+        CHECK_FALSE(decode("X-Length-Hint", value)->expectedOutputTokens);
+        CHECK_FALSE(decode("X-Token-Count", (std::string(value) + ",1").c_str()));
+        CHECK_FALSE(decode("X-Token-Count", (std::string("1,") + value).c_str()));
+    }
+    REQUIRE(decode("X-Deadline-Ms", "1e300")->deadline);
+    CHECK(*decode("X-Deadline-Ms", "1e300")->deadline > std::chrono::hours(1));
+}
+
 TEST_CASE("only an explicit statement of the target counts as not executed", "[platform][headers]")
 {
     boost::beast::http::response_header<> header;
