Leave a host that nobody asks its own part of a quota

Cause: the move of the shares into FleetScheduler gave a host that takes itself for the decider, but is asked by no other, the part of all hosts that it hears; before it had its own part only. Change: quotas as before the move; limits keep the larger part, since what two deciders send to a target is counted by each of them from the reports. Clearer names.

--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -318,22 +318,24 @@
 }
 
 /**
- * Sets the part of everything that the fleet shares, quotas and the targets' limits, which this host may use: that of
- * the hosts that it hears if it decides for them, its own if it has to decide alone.
+ * Sets the part of the customers' quotas and of the targets' limits that this host may use: that of the hosts that it
+ * hears while it decides for them, its own if it has to decide alone.
  */
 void FleetScheduler::updateShares(state::Time now)
 {
     const auto &peers = m_scheduler.peers();
     const auto decider = m_directory.decider(now);
-    const bool asked = isActiveDecider(now);
-    const std::size_t heard = asked || (decider && *decider == m_self.host) ? peers.liveHosts() : 1;
+    const bool isDecider = decider && *decider == m_self.host;
+    const bool isAsked = isActiveDecider(now);
     // Hosts that are not candidates get no reports and know the fleet from the directory.
     const std::size_t reporting = peers.fleetCount() + 1;
-    const std::size_t fleet = asked ? reporting : std::max({ reporting, m_directory.size(), hosts(now) });
-    const double share = static_cast<double>(heard) / static_cast<double>(fleet);
-    m_scheduler.quotas().setReachableShare(share);
-    const bool otherDecides = !asked && decider && *decider != m_self.host;
-    m_scheduler.limits().setShare(otherDecides ? 0 : share, now);
+    const std::size_t fleet = isAsked ? reporting : std::max({ reporting, m_directory.size(), hosts(now) });
+    const double own = 1 / static_cast<double>(fleet);
+    const double heard = static_cast<double>(peers.liveHosts()) / static_cast<double>(fleet);
+    m_scheduler.quotas().setReachableShare(isAsked ? heard : own);
+    // Nothing is saved up for a target while another host decides.
+    const bool otherDecides = decider && !isDecider && !isAsked;
+    m_scheduler.limits().setShare(otherDecides ? 0 : isAsked || isDecider ? heard : own, now);
 }
 
 bool FleetScheduler::canDecide(state::Time now) const
--- a/src/coordination/entry/targetlimits.cpp
+++ b/src/coordination/entry/targetlimits.cpp
@@ -176,7 +176,7 @@
 bool TargetLimits::mayDispatch(std::uint32_t target, state::Time now)
 {
     const auto found = m_items.find(target);
-    if (found == m_items.end() || !limits(found->second.limit, now)) {
+    if (found == m_items.end() || !isEffective(found->second.limit, now)) {
         return true;
     }
     found->second.pacer.refill(rateOf(found->second.limit, now) * m_share, now);
@@ -203,7 +203,7 @@
 std::optional<double> TargetLimits::rate(std::uint32_t target, state::Time now) const
 {
     const TargetLimit *limit = find(target);
-    return limit != nullptr && limits(*limit, now) ? std::optional(rateOf(*limit, now)) : std::nullopt;
+    return limit != nullptr && isEffective(*limit, now) ? std::optional(rateOf(*limit, now)) : std::nullopt;
 }
 
 std::uint32_t TargetLimits::digest() const
@@ -297,7 +297,7 @@
 }
 
 /** Returns the requests per second that @p limit leaves to all hosts at @p now. */
-double TargetLimits::rateOf(const TargetLimit &limit, state::Time now) const
+double TargetLimits::rateOf(const TargetLimit &limit, state::Time now)
 {
     const double stated = std::max(MinRate, limit.requestsPerSecond);
     if (!limit.ended) {
@@ -307,7 +307,7 @@
     return stated * std::exp2(std::max(0.0, doublings));
 }
 
-bool TargetLimits::limits(const TargetLimit &limit, state::Time now) const
+bool TargetLimits::isEffective(const TargetLimit &limit, state::Time now)
 {
     return !limit.ended || now - limit.statedAt < EndRamp;
 }
--- a/src/coordination/entry/targetlimits.h
+++ b/src/coordination/entry/targetlimits.h
@@ -115,8 +115,8 @@
 
     Item &itemOf(std::uint32_t target, state::Time now);
     void merge(const LimitShare &share, state::Time now);
-    double rateOf(const TargetLimit &limit, state::Time now) const;
-    bool limits(const TargetLimit &limit, state::Time now) const;
+    static double rateOf(const TargetLimit &limit, state::Time now);
+    static bool isEffective(const TargetLimit &limit, state::Time now);
 
     std::uint32_t m_self;
     double m_share = 1;
