Clarify the parts of limits, urgent reports and counts of sent requests

Cause: what stopped a newcomer in the diff of the limits: a nested condition, a flag that is cleared and set again in a loop, comments that leave open who counts what. Change: names, comments and the order of statements; nothing else.

--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -330,12 +330,15 @@
     // Hosts that are not candidates get no reports and know the fleet from the directory.
     const std::size_t reporting = peers.fleetCount() + 1;
     const std::size_t fleet = isAsked ? reporting : std::max({ reporting, m_directory.size(), hosts(now) });
-    const double own = 1 / static_cast<double>(fleet);
-    const double heard = static_cast<double>(peers.liveHosts()) / static_cast<double>(fleet);
-    m_scheduler.quotas().setReachableShare(isAsked ? heard : own);
-    // Nothing is saved up for a target while another host decides.
-    const bool otherDecides = decider && !isDecider && !isAsked;
-    m_scheduler.limits().setShare(otherDecides ? 0 : isAsked || isDecider ? heard : own, now);
+    const double ownShare = 1 / static_cast<double>(fleet);
+    const double heardShare = static_cast<double>(peers.liveHosts()) / static_cast<double>(fleet);
+    m_scheduler.quotas().setReachableShare(isAsked ? heardShare : ownShare);
+    if (isAsked || isDecider) {
+        m_scheduler.limits().setShare(heardShare, now);
+    } else {
+        // While another host decides, this one must not save up requests for later.
+        m_scheduler.limits().setShare(decider ? 0 : ownShare, now);
+    }
 }
 
 bool FleetScheduler::canDecide(state::Time now) const
--- a/src/coordination/entry/targetlimits.cpp
+++ b/src/coordination/entry/targetlimits.cpp
@@ -145,7 +145,7 @@
 {
     merge(report.limits, now);
     PeerState &peer = m_peers[report.host];
-    // What a peer sent before its first report to this host was no concern of this host.
+    // What a peer sent before its first report was sent before this host could be asked.
     const bool known = peer.incarnation == report.incarnation;
     if (!known) {
         peer = { report.incarnation, now, {} };
@@ -153,7 +153,7 @@
     peer.reportedAt = now;
     for (const SentShare &share : report.sent) {
         const auto [before, added] = peer.sent.try_emplace({ share.target, share.decider }, share.requests);
-        // A new entry, or one that was not reported for a while, has just grown by its last request.
+        // An entry that appears stands for one request: what was sent long before is no longer reported.
         const std::uint32_t grown = added ? 1 : share.requests - std::min(before->second, share.requests);
         before->second = share.requests;
         const auto found = m_items.find(share.target);
--- a/src/coordination/entry/targetlimits.h
+++ b/src/coordination/entry/targetlimits.h
@@ -58,10 +58,10 @@
     /** Returns whether a request may be sent to @p target now. */
     bool mayDispatch(std::uint32_t target, state::Time now);
 
-    /** Counts a request that this host has decided to send to @p target, itself or through another host. */
+    /** Counts a request to @p target that this host has decided, for itself or for another host. */
     void dispatched(std::uint32_t target, state::Time now);
 
-    /** Counts a request that this host sends to @p target on a decision of @p decider, for its reports. */
+    /** Counts a request that this host sends to @p target, for its reports; @p decider is who decided it. */
     void sent(std::uint32_t target, std::uint32_t decider, state::Time now);
 
     /** Returns the requests per second that @p target accepts from all hosts; nothing if it states no limit. */
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -176,11 +176,11 @@
     std::string datagram;
     m_urgent = fleet.takeUrgentReport() || m_urgent;
     const state::Duration interval = m_urgent ? UrgentReportInterval : ReportInterval;
-    m_urgent = false;
+    bool postponed = false;
     for (const auto *host : fleet.directory().reportRecipients(now)) {
         state::Time &sent = m_lastReportSent[host->name];
         if (now - sent < interval) {
-            m_urgent = m_urgent || interval == UrgentReportInterval;
+            postponed = true;
             continue;
         }
         if (datagram.empty()) {
@@ -208,6 +208,7 @@
         fleet.directory().reportSent(host->name, now);
         sent = now;
     }
+    m_urgent = m_urgent && postponed;
 }
 
 void PeerChannel::send(const protocol::DeciderMessage &message, const std::string &address, std::uint16_t port)
--- a/src/transport/entry/peerchannel.h
+++ b/src/transport/entry/peerchannel.h
@@ -56,7 +56,7 @@
     std::map<std::string, state::Time, std::less<>> m_lastReportSent; /**< time of the last report to each host */
     std::uint32_t m_deploymentHash;
     std::uint32_t m_sequence = 0;
-    bool m_urgent = false; /**< a host has yet to get a report with urgent news */
+    bool m_urgent = false; /**< urgent news have yet to be reported to some host */
     state::Time m_started;
 };
 
