Log the parts of prompts with dispatches and failed attempts

Cause: the logs of tainted could not tell whether the requests that break when a target crashes have something in common. Ruled out: overload of the remaining targets (each crash has the same part in common); retries alone (7 of 24, 10 of 33 and 18 of 52 dispatches with the part were second attempts). Change: platform/ reads the parts of a prompt, without the last one; `dispatch` and `attempt_failed` name them. No logic changed.

--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -239,6 +239,7 @@
                { "target_limit", describeLimit(m_context.scheduler.limits().find(m_decision->targetHash), now) },
                { "decider_limit", describeRate(m_decision->targetLimit) },
                { "expected_first_ms", std::to_string(static_cast<int>(m_decision->expectedFirstMs)) },
+               { "parts", describeParts(m_admitted.fields.promptParts) },
                { "waited_ms", milliseconds(now - m_arrived) },
                { "attempt", std::to_string(m_triedTargets.size()) } });
     Request request = m_request;
@@ -272,6 +273,7 @@
                    { "outcome", std::string(nameOf(result.outcome)) },
                    { "may_have_run", result.mayHaveRun ? "yes" : "no" },
                    { "events", std::to_string(result.events) },
+                   { "parts", describeParts(m_admitted.fields.promptParts) },
                    { "detail", result.detail } });
     }
     m_context.fleet.finished(m_id, result.outcome, result.events, m_context.now());
--- a/src/transport/entry/format.h
+++ b/src/transport/entry/format.h
@@ -3,8 +3,11 @@
 #include "coordination/entry/targetlimits.h"
 #include "state/time.h"
 
+#include <algorithm>
+#include <cstdint>
 #include <cstdio>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace sapphirecove::transport::entry {
@@ -15,6 +18,19 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+/** Returns the first of @p parts in hexadecimal, separated by commas, or "none", for the log. */
+inline std::string describeParts(std::span<const std::uint64_t> parts)
+{
+    constexpr std::size_t MaxLogged = 8;
+    std::string text;
+    for (const std::uint64_t part : parts.first(std::min(parts.size(), MaxLogged))) {
+        char digits[24];
+        std::snprintf(digits, sizeof digits, "%s%llx", text.empty() ? "" : ",", static_cast<unsigned long long>(part));
+        text += digits;
+    }
+    return text.empty() ? "none" : text;
+}
+
 /** Returns @p requestsPerSecond with its unit, or "none", for the log. */
 inline std::string describeRate(std::optional<double> requestsPerSecond)
 {
--- a/src/transport/entry/wirecodec.h
+++ b/src/transport/entry/wirecodec.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sapphirecove::transport::entry {
 
@@ -26,6 +27,7 @@
     double maxOutputTokens = 0;
     std::optional<double> expectedOutputTokens; /**< the caller's estimate */
     std::optional<std::uint64_t> lastEventId; /**< last event of this stream that the caller has received */
+    std::vector<std::uint64_t> promptParts; /**< parts of the prompt that other requests may share, in order */
 };
 
 /** Fields that the host sets on the request to a target. */
--- a/tests/platform/testplatform.cpp
+++ b/tests/platform/testplatform.cpp
@@ -189,6 +189,28 @@
 }
 
 // Guards against a time limit that overflows, or token counts that are no numbers and disable a quota.
+TEST_CASE("the parts of a prompt are read without the last one, however their ids are written", "[platform]")
+{
+    const auto partsOf = [](std::string_view text) {
+        boost::beast::http::request_header<> header;
+        header.set("X-Prompt-Prefix", text);
+        return attempt<transport::entry::RequestFields>([&] {
+                   return Codec().decodeRequest(header);
+               })
+            .first.value()
+            .promptParts;
+    };
+    using Parts = std::vector<std::uint64_t>;
+    CHECK(partsOf("5c1e07a2:800,91bd3f06:410,e4402b7d:250") == Parts{ 0x5c1e07a2, 0x91bd3f06 });
+    CHECK(partsOf("005C1E07A2:800, 91bd3f06 ,e4402b7d:250") == Parts{ 0x5c1e07a2, 0x91bd3f06 });
+    CHECK(partsOf("e4402b7d:250").empty());
+    CHECK(partsOf("").empty());
+    CHECK(partsOf(",,a:1").empty());
+    const Parts longIds = partsOf("5c1e07a25c1e07a25c1e07a2:1,5C1E07A25C1E07A25C1E07A2:2,x:1");
+    REQUIRE(longIds.size() == 2);
+    CHECK(longIds[0] == longIds[1]);
+}
+
 TEST_CASE("numbers in a caller's header that are not finite or far too large are not used", "[platform][headers]")
 {
     const auto decode = [](const char *name, const char *value) {
