Add failing tests: a broken stream without length passes for a whole one

Ruled out: plain responses; a clean end, a reset and HTTP/1.0 are told apart already, which a third test keeps so. Result: on this code, half an event reaches the caller with the end of a complete stream, and a stream that ends before its first event is not repeated at another target.

--- a/tests/transport/entry/testentryhost.cpp
+++ b/tests/transport/entry/testentryhost.cpp
@@ -28,6 +28,12 @@
         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
+/** Head of a stream that ends with its connection. */
+std::string unframedStreamHead()
+{
+    return "HTTP/1.1 200 OK\r\n" + std::string(Seal) + "Content-Type: text/event-stream\r\n\r\n";
+}
+
 std::string chunk(std::string_view data)
 {
     char size[16];
@@ -223,6 +229,82 @@
     CHECK(target.requests().size() == 1);
 }
 
+// Guards against an answer whose end cannot be told from its break, as it has neither a length nor chunks.
+TEST_CASE("a stream without length that ends inside an event was broken off", "[entry][host][unframed]")
+{
+    const auto script = [](int, const std::string &request, BlockingConnection &connection) {
+        const bool resumed = request.find("Last-Event-Id: 1") != std::string::npos;
+        connection.write(unframedStreamHead() + (resumed ? event(2) : event(1) + "id: 2\nda"));
+    };
+    ScriptedTarget one(script);
+    ScriptedTarget two(script);
+    EntryFixture fixture({ one.port(), two.port() });
+    SECTION("it never looks complete if it may not be resumed")
+    {
+        const std::string response = fixture.call(NonResumableStreamPath);
+        CHECK(contains(response, event(1)));
+        CHECK_FALSE(contains(response, "id: 2"));
+        CHECK_FALSE(response.ends_with("0\r\n\r\n"));
+        CHECK(one.requests().size() + two.requests().size() == 1);
+    }
+    SECTION("it continues at another target if it may be resumed")
+    {
+        const std::string response = fixture.call(StreamPath);
+        CHECK(contains(response, event(1)));
+        CHECK(contains(response, event(2)));
+        CHECK(response.find("id: 2") == response.rfind("id: 2"));
+        CHECK(response.ends_with("0\r\n\r\n"));
+    }
+}
+
+TEST_CASE("a stream without length that ends after an event is complete", "[entry][host][unframed]")
+{
+    ScriptedTarget target([](int, const std::string &, BlockingConnection &connection) {
+        connection.write(unframedStreamHead() + event(1) + event(2));
+    });
+    EntryFixture fixture({ target.port() });
+    const std::string response = fixture.call(StreamPath);
+    CHECK(contains(response, "Transfer-Encoding: chunked"));
+    CHECK(contains(response, event(1)));
+    CHECK(contains(response, event(2)));
+    CHECK(response.ends_with("0\r\n\r\n"));
+    CHECK(target.requests().size() == 1);
+}
+
+// A connection that ends before the first event may be that of a target that has crashed.
+TEST_CASE("a stream without length and without events is repeated at another target", "[entry][host][unframed]")
+{
+    std::atomic<int> calls = 0;
+    const auto script = [&](int, const std::string &, BlockingConnection &connection) {
+        connection.write(unframedStreamHead() + (++calls == 1 ? std::string() : event(1)));
+    };
+    ScriptedTarget one(script);
+    ScriptedTarget two(script);
+    EntryFixture fixture({ one.port(), two.port() });
+    const std::string response = fixture.call(StreamPath);
+    CHECK(contains(response, event(1)));
+    CHECK(response.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a response without length is complete at the clean end of its connection only", "[entry][host][unframed]")
+{
+    std::atomic<bool> resets = false;
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.0 200 OK\r\n" + std::string(Seal) + "Connection: close\r\n\r\nwhole body");
+        if (resets) {
+            connection.reset();
+        }
+    });
+    EntryFixture fixture({ target.port() });
+    const std::string whole = fixture.call(CommitPath, "a1", "POST");
+    CHECK(contains(whole, "Content-Length: 10"));
+    CHECK(whole.ends_with("whole body"));
+    resets = true;
+    const std::string broken = fixture.call(CommitPath, "a2", "POST");
+    CHECK(contains(broken, " 502 "));
+    CHECK_FALSE(contains(broken, "X-Server-Seal"));
+}
+
 TEST_CASE("a caller's disconnect ends its stream at the target within half a second", "[entry][host]")
 {
     std::promise<std::chrono::steady_clock::time_point> ended;
--- a/tests/transport/loopback.h
+++ b/tests/transport/loopback.h
@@ -109,6 +109,14 @@
         m_socket.close(ignored);
     }
 
+    /** Ends the connection with a reset. */
+    void reset()
+    {
+        boost::system::error_code ignored;
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+    }
+
 private:
     void setReceiveTimeout()
     {
