Take a stream that ends inside an event as broken off

What callers saw: half an event and then the end of a complete stream, when a target's answer without length or chunks was cut; a 502 instead of the answer of another target, when it was cut before its first event. Cause: with such an answer the end of the connection ends the body, and `readStream()` forwarded the rest of an unfinished event and counted the stream as complete. Class: the end of a transport taken for the end of a message. Change: a stream of any framing that ends inside an event is broken; one that only its connection ends is broken before its first event, too. Comments after the last event are not part of one and are still forwarded. A resumable stream goes on at another target as after any break; another one ends without the final chunk. Why this works: events are forwarded whole, so that what has reached the caller is always a prefix of the stream, and the final chunk now follows a complete event only. What no one can tell: a stream without length that is cut exactly between two events looks like a whole one.

--- a/src/protocol/eventstreamparser.cpp
+++ b/src/protocol/eventstreamparser.cpp
@@ -46,6 +46,7 @@
     if (line.empty()) {
         finishEvent(events);
     } else {
+        m_hasFields = m_hasFields || !line.starts_with(':');
         const std::size_t colon = line.find(':');
         std::string_view value = colon == std::string_view::npos ? std::string_view() : line.substr(colon + 1);
         if (value.starts_with(' ')) {
@@ -76,6 +77,7 @@
 {
     m_lastEventId = m_id.value_or(m_lastEventId);
     m_id.reset();
+    m_hasFields = false;
     if (!m_hasData) {
         return;
     }
--- a/src/protocol/eventstreamparser.h
+++ b/src/protocol/eventstreamparser.h
@@ -40,6 +40,12 @@
         return m_ended;
     }
 
+    /** Returns whether the bytes so far end inside an event. Comments after the last event are not part of one. */
+    bool insideEvent() const
+    {
+        return m_hasFields || !m_line.empty();
+    }
+
     /** Returns the bytes after the last complete event. */
     std::string_view incomplete() const
     {
@@ -71,6 +77,7 @@
     std::uint64_t m_lastEventId = 0;
     std::optional<Usage> m_usage;
     bool m_hasData = false;
+    bool m_hasFields = false; /**< since the last empty line */
     bool m_afterCarriageReturn = false;
     bool m_firstLine = true;
     bool m_ended = false;
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -303,7 +303,8 @@
                 result.detail = failure.detail;
                 return false;
             });
-        if (readable && m_parser->is_done()) {
+        const bool ended = readable && m_parser->is_done();
+        if (ended && !events.insideEvent()) {
             complete += events.incomplete();
         }
         if (!complete.empty()) {
@@ -319,7 +320,12 @@
             m_lastEventId = events.lastEventId();
             startInactivityTimer(m_timeouts.betweenEvents);
         }
-        if (!readable || !wellFormed) {
+        // The end of the connection alone does not tell a complete stream from one that was cut.
+        const bool cut = ended && (events.insideEvent() || (m_parser->need_eof() && result.events == 0));
+        if (cut) {
+            result.detail = "stream ended inside an event or before the first one";
+        }
+        if (!readable || !wellFormed || cut) {
             result.outcome = AttemptOutcome::Broken;
             co_return;
         }
--- a/tests/protocol/testeventstreamparser.cpp
+++ b/tests/protocol/testeventstreamparser.cpp
@@ -120,3 +120,26 @@
     }
     CHECK(events > 0);
 }
+
+TEST_CASE("the end of a stream inside an event is told from one after an event", "[eventstream]")
+{
+    const auto endsInside = [](std::string_view text) {
+        EventStreamParser parser;
+        return state::handleFailure(
+            [&]() -> state::Result<bool> {
+                BOOST_LEAF_CHECK(parser.feed(text));
+                return parser.insideEvent();
+            },
+            [](const state::Failure &) {
+                return true;
+            });
+    };
+    CHECK_FALSE(endsInside(""));
+    CHECK_FALSE(endsInside("id: 1\ndata: a\n\n"));
+    CHECK_FALSE(endsInside("data: a\r\n\r\n: comment\n\n"));
+    CHECK_FALSE(endsInside("data: a\n\n: comment\n"));
+    CHECK(endsInside("data: a\n\nd"));
+    CHECK(endsInside("data: a\n\ndata: b\n"));
+    CHECK(endsInside("data: a\n\nid: 2\n"));
+    CHECK(endsInside("data: a\n\nevent: end"));
+}
