Read no body in responses to HEAD

What callers saw: a 504 at the route's timeout for each HEAD request whose response names a length. Cause: the parser of a target's response did not know the request's method and waited for the body. Ruled out: 204 and 304, which the parser ends with their header; the test has them. Change: the parser skips the body of a response to HEAD. Result: the test failed before (504 instead of 200) and passes; `[host]` passes.

--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -59,6 +59,7 @@
 TargetAttempt::run(Request request, std::string attemptId, bool streaming, StreamSink &sink)
 {
     AttemptResult result;
+    m_isHead = request.method() == http::verb::head;
     if (co_await connect(result)) {
         if (co_await send(std::make_shared<Request>(std::move(request)), result)) {
             co_await receive(attemptId, streaming, sink, result);
@@ -206,6 +207,7 @@
         m_parser.emplace();
         m_parser->header_limit(MaxHeadBytes);
         m_parser->body_limit(boost::none);
+        m_parser->skip(m_isHead);
         boost::system::error_code error;
         co_await http::async_read_header(
             m_connection->socket, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -109,6 +109,7 @@
     std::shared_ptr<bool> m_bodySent = std::make_shared<bool>(false);
     std::optional<std::uint64_t> m_lastEventId;
     std::optional<state::Time> m_inactivityDeadline;
+    bool m_isHead = false; /**< the request asks for the header of a response only */
     bool m_sent = false;
     bool m_aborted = false;
     bool m_stalled = false;
--- a/tests/transport/entry/testentryhost.cpp
+++ b/tests/transport/entry/testentryhost.cpp
@@ -305,6 +305,27 @@
     CHECK_FALSE(contains(broken, "X-Server-Seal"));
 }
 
+// Guards against a wait for a body that the response cannot have.
+TEST_CASE("responses without a body end with their header", "[entry][host][unframed]")
+{
+    ScriptedTarget target([](int, const std::string &request, BlockingConnection &connection) {
+        const bool isHead = request.starts_with("HEAD");
+        const std::string status = isHead                           ? "200 OK"
+            : request.find("X-Attempt-Id: a2") != std::string::npos ? "204 X"
+                                                                    : "304 X";
+        connection.write("HTTP/1.1 " + status + "\r\n" + std::string(Seal) + (isHead ? "Content-Length: 10\r\n" : "")
+                         + "Connection: close\r\n\r\n");
+        connection.readToEnd();
+    });
+    EntryFixture fixture({ target.port() });
+    const std::string head = fixture.call(CommitPath, "a1", "HEAD");
+    CHECK(contains(head, " 200 "));
+    CHECK(contains(head, "Content-Length: 10"));
+    CHECK(head.ends_with("\r\n\r\n"));
+    CHECK(contains(fixture.call(CommitPath, "a2", "POST"), " 204 "));
+    CHECK(contains(fixture.call(CommitPath, "a3", "POST"), " 304 "));
+}
+
 TEST_CASE("a caller's disconnect ends its stream at the target within half a second", "[entry][host]")
 {
     std::promise<std::chrono::steady_clock::time_point> ended;
