--- /dev/null
+++ b/src/coordination/entry/crashsuspects.h
@@ -0,0 +1,219 @@
+#pragma once
+
+#include "coordination/entry/peerreport.h"
+#include "state/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace sapphirecove::coordination::entry {
+
+/** Returns a number that identifies the targets of @p service with @p softwareVersion in messages between hosts. */
+std::uint32_t buildHash(std::string_view service, std::string_view softwareVersion);
+
+/** Request that a crash of its target broke before its answer had begun. */
+struct BrokenRequest
+{
+    std::uint32_t target = 0; /**< hash of the incarnation */
+    std::uint32_t build = 0; /**< see buildHash() */
+    std::span<const std::uint64_t> parts; /**< that other requests may share */
+    state::Time dispatched{};
+};
+
+/**
+ * Parts of prompts that are suspected of crashing the targets that answer requests with them.
+ *
+ * A target that crashes takes all its requests along, so that one crash accuses the parts of all of them. A part is
+ * blocked once several targets, one after the other, have crashed at requests with it and none has answered one since.
+ * A part that was only present when another one crashed targets is not blocked; see unexplainedCount(). While all
+ * requests that accuse a part have other parts in common, too, only requests with all of these are blocked, as any of
+ * them may be the one; see PartEvidence::companions.
+ *
+ * The host that decides records crashes and answers. Evidence passes between hosts in reports and in the replies to
+ * them, so that every host that may decide or send has it. Merging does not depend on the order of messages.
+ *
+ * After a quarantine, which doubles with each crash, one request with a blocked part is sent as a trial. An answer
+ * unblocks the part.
+ */
+class CrashSuspects
+{
+public:
+    /** Crashes without an answer in between at which a part is blocked. */
+    static constexpr std::size_t BlockAfter = 3;
+
+    /** Crashes from which on a blocked part gets no more trials. */
+    static constexpr std::size_t NoTrialsFrom = 8;
+
+    /** Quarantine of a part that was blocked after BlockAfter crashes. */
+    static constexpr state::Duration FirstQuarantine = std::chrono::seconds(30);
+
+    /** Time for which a blocked part is remembered after its last crash. */
+    static constexpr state::Duration KeepBlocked = std::chrono::hours(6);
+
+    /** @p self is the processHash() of this process. */
+    explicit CrashSuspects(std::uint32_t self = 0);
+
+    /** Records that a target crashed at @p request. */
+    void crashed(const BrokenRequest &request, state::Time now);
+
+    /** Records that a target of @p build answered a request with @p parts without a crash. */
+    void answered(std::uint32_t build, std::span<const std::uint64_t> parts, state::Time now);
+
+    /** Adds the evidence of another host. */
+    void merge(std::span<const PartEvidence> evidence, state::Time now);
+
+    /** Returns whether a request with @p parts may not be sent to targets of @p build. */
+    bool isBlocked(std::span<const std::uint64_t> parts, std::uint32_t build) const;
+
+    /** Returns whether a request with @p parts may be sent as a trial: a trial of all its blocked parts is due. */
+    bool trialIsDue(std::span<const std::uint64_t> parts, state::Time now) const;
+
+    /** Records that a request with @p parts is sent as a trial. */
+    void trialStarted(std::span<const std::uint64_t> parts, state::Time now);
+
+    /** Returns the time until a request with @p parts may be sent as a trial. */
+    state::Duration timeToTrial(std::span<const std::uint64_t> parts, state::Time now) const;
+
+    /** Returns a number that two hosts share if they would send the same evidence. */
+    std::uint32_t digest() const
+    {
+        return m_digest;
+    }
+
+    /** Returns the most important evidence, for messages to other hosts. */
+    std::vector<PartEvidence> shares(state::Time now) const;
+
+    /** Returns the evidence against blocked parts if it has changed since it was stored; see evidenceStored(). */
+    std::optional<std::vector<PartEvidence>> evidenceToStore(state::Time now) const;
+
+    /** Records that the store has the evidence with the given digest; see blockedDigest(). */
+    void evidenceStored(std::uint32_t blockedDigest)
+    {
+        m_storedDigest = blockedDigest;
+    }
+
+    /** Returns a number that identifies the evidence against blocked parts; 0 if there is none. */
+    std::uint32_t blockedDigest() const
+    {
+        return m_blockedDigest;
+    }
+
+    /** Drops evidence that is too old. */
+    void expire(state::Time now);
+
+    /** Part whose state has changed. */
+    struct Change
+    {
+        std::uint64_t part = 0;
+        bool blocked = false;
+        std::size_t crashes = 0; /**< that are held against it */
+        std::vector<std::uint64_t> companions; /**< that a request must have as well to be blocked */
+    };
+
+    /** Returns the changes since the last call, for the log. */
+    std::vector<Change> takeChanges();
+
+    /** Returns whether a part was blocked since the last call, which other hosts should know at once. */
+    bool takeUrgent();
+
+    /** Returns a number that grows whenever another part is blocked. */
+    std::uint64_t blockings() const
+    {
+        return m_blockings;
+    }
+
+    std::size_t blockedCount() const
+    {
+        return m_blocked.size();
+    }
+
+    std::size_t suspectCount() const
+    {
+        return m_suspects.size();
+    }
+
+private:
+    /** What one deciding process knows of one crash at requests with one part. */
+    struct Observation
+    {
+        std::uint32_t build = 0;
+        std::uint32_t requests = 0; /**< with the part, which the crash broke */
+        state::Time at{};
+        state::Duration held{}; /**< shortest time for which the target had such a request */
+        std::vector<std::uint64_t> companions; /**< parts that all these requests had as well, sorted */
+    };
+
+    using TargetAndObserver = std::pair<std::uint32_t, std::uint32_t>;
+
+    struct Suspect
+    {
+        std::map<TargetAndObserver, Observation> crashes; /**< since the last answer */
+        std::map<std::uint32_t, state::Time> answered; /**< last answer of each build */
+    };
+
+    /** Crash as all observers together know it. */
+    struct Crash
+    {
+        state::Time at{};
+        state::Time latestDispatch{}; /**< of the requests with the part */
+    };
+
+    using Crashes = std::map<std::uint32_t, Crash>; /**< by target */
+
+    /** Part that crashes accuse, before other explanations of them are considered. */
+    struct Accused
+    {
+        Crashes crashes;
+        std::size_t separate = 0; /**< crashes one after the other */
+        std::uint32_t requests = 0; /**< that crashes broke */
+        double requestsPerCrash = 0;
+        std::vector<std::uint64_t> companions; /**< at all crashes; without those that were answered since */
+    };
+
+    struct Blocked
+    {
+        state::Time lastCrash{};
+        std::size_t crashes = 0;
+        std::vector<std::uint64_t> companions; /**< that a request must have as well to be blocked */
+        std::set<std::uint32_t> builds; /**< that have crashed */
+        std::set<std::uint32_t> exempt; /**< that have answered and not crashed since */
+    };
+
+    bool add(const PartEvidence &evidence, state::Time now);
+    void answeredAt(Suspect &suspect, std::uint32_t build, state::Time at);
+    void changed(std::span<const std::uint64_t> parts);
+    void updateBlocked();
+    void updateDigests();
+    void makeRoom();
+    Accused accusedOf(const Suspect &suspect) const;
+    bool wasAnswered(std::uint64_t part) const;
+    static std::size_t separateCount(const Crashes &crashes);
+    static bool explains(std::uint64_t otherPart, const Accused &other, const Accused &accused);
+    static bool holds(const Blocked &blocked, std::span<const std::uint64_t> parts);
+    std::size_t unexplainedCount(std::uint64_t part, const Accused &accused) const;
+    std::vector<PartEvidence> evidenceOf(std::uint64_t part, state::Time now) const;
+    std::vector<PartEvidence> blockedEvidence(state::Time now) const;
+    state::Time trialAt(std::uint64_t part, const Blocked &blocked) const;
+
+    std::uint32_t m_self;
+    std::map<std::uint64_t, Suspect> m_suspects; /**< by part */
+    std::map<std::uint64_t, Accused> m_accused; /**< suspects with crashes, by part */
+    std::unordered_map<std::uint64_t, Blocked> m_blocked; /**< by part */
+    std::unordered_map<std::uint64_t, state::Time> m_trials; /**< last trial of blocked parts */
+    std::uint32_t m_digest = 0;
+    std::uint32_t m_blockedDigest = 0;
+    std::uint32_t m_storedDigest = 0;
+    std::uint64_t m_blockings = 0;
+    std::vector<Change> m_changes;
+    bool m_urgent = false;
+};
+
+} // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/decidermessages.h
+++ b/src/coordination/entry/decidermessages.h
@@ -84,6 +84,8 @@
     std::vector<QuotaShare> quotas; /**< use by all hosts */
     std::uint32_t limitsDigest = 0; /**< see TargetLimits::digest() */
     std::vector<LimitShare> limits; /**< only sent if the digest differs from that of the report */
+    std::uint32_t suspectsDigest = 0; /**< see CrashSuspects::digest() */
+    std::vector<PartEvidence> suspects; /**< only sent if the digest differs from that of the report */
 };
 
 /** Returns a hash that identifies a process in reports. */
--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -137,6 +137,7 @@
 {
     m_directory.reportAnswered(reply, state::timeFromMicroseconds(reply.reportSentAt));
     m_scheduler.limits().merge(reply.limits, now);
+    m_scheduler.suspects().merge(reply.suspects, now);
     // Deciders know the usage from the reports. If they also took it from each other, it would never decrease.
     if (!reply.quotas.empty() && !m_directory.isCandidate(now) && !isActiveDecider(now)) {
         m_scheduler.quotas().raiseUseTo(reply.quotas, now);
@@ -148,6 +149,7 @@
     m_remoteRequests.handleReport(report, now);
     m_scheduler.quotas().peerReported(report, now);
     m_scheduler.limits().peerReported(report, now);
+    m_scheduler.suspects().merge(report.suspects, now);
     if (m_scheduler.waiting() > 0) {
         decide(now);
     }
@@ -168,6 +170,11 @@
     if (reply.limitsDigest != report.limitsDigest) {
         reply.limits = limits.shares(now);
     }
+    const CrashSuspects &suspects = m_scheduler.suspects();
+    reply.suspectsDigest = suspects.digest();
+    if (reply.suspectsDigest != report.suspectsDigest) {
+        reply.suspects = suspects.shares(now);
+    }
     if (isActiveDecider(now)) {
         if (now - m_sharesAt >= ShareInterval) {
             m_sharesAt = now;
@@ -281,18 +288,23 @@
         report.targets.push_back(share);
     }
     m_scheduler.fillReport(report, now);
-    if (limitsDifferAtRecipients(report.limitsDigest, now)) {
+    if (differsAtRecipients(&ReportReply::limitsDigest, report.limitsDigest, now)) {
         report.limits = m_scheduler.limits().shares(now);
     }
+    if (differsAtRecipients(&ReportReply::suspectsDigest, report.suspectsDigest, now)) {
+        report.suspects = m_scheduler.suspects().shares(now);
+    }
 }
 
-/** Returns whether a recipient of this host's reports may know other limits than those with @p digest. */
-bool FleetScheduler::limitsDifferAtRecipients(std::uint32_t digest, state::Time now) const
+/** Returns whether a recipient of this host's reports may know something else than this host, which has @p digest. */
+bool FleetScheduler::differsAtRecipients(std::uint32_t ReportReply::*recipientDigest,
+                                         std::uint32_t digest,
+                                         state::Time now) const
 {
     const auto recipients = m_directory.reportRecipients(now);
     return std::any_of(recipients.begin(), recipients.end(), [&](const KnownHost *host) {
         const ReportReply *reply = m_directory.latestReplyOf(host->name);
-        return reply == nullptr || reply->limitsDigest != digest;
+        return reply == nullptr || reply->*recipientDigest != digest;
     });
 }
 
--- a/src/coordination/entry/fleetscheduler.h
+++ b/src/coordination/entry/fleetscheduler.h
@@ -78,7 +78,9 @@
      */
     bool takeUrgentReport()
     {
-        return m_scheduler.limits().takeUrgent();
+        const bool limits = m_scheduler.limits().takeUrgent();
+        const bool suspects = m_scheduler.suspects().takeUrgent();
+        return limits || suspects;
     }
 
     /** Adds the load and counts of this host to its report to the deciders. */
@@ -143,7 +145,7 @@
     void updateShares(state::Time now);
     void submitLocally(const ScheduledRequest &request, state::Time now);
     void begin(const Decision &decision, std::string_view decider, std::uint32_t deciderHash, state::Time now);
-    bool limitsDifferAtRecipients(std::uint32_t digest, state::Time now) const;
+    bool differsAtRecipients(std::uint32_t ReportReply::*recipientDigest, std::uint32_t digest, state::Time now) const;
     void sendUpdate(const std::string &decider,
                     std::uint64_t request,
                     AttemptUpdate::Kind kind,
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -48,6 +48,22 @@
     std::uint32_t requests = 0; /**< only grows while the host knows a limit of the target */
 };
 
+/** What a host knows of one part of prompts at targets of one build; see CrashSuspects. */
+struct PartEvidence
+{
+    std::uint64_t part = 0;
+    std::uint32_t build = 0; /**< see buildHash() */
+    std::uint32_t target = 0; /**< incarnation that crashed at requests with the part; 0 for an answer to one */
+    std::uint32_t observer =
+        0; /**< process that has decided about these requests, see processHash(); 0 for an answer */
+    std::uint16_t requests = 0; /**< with the part, which the crash broke */
+    std::uint32_t ageMs = 0; /**< since the crash, or since the last answer */
+    std::uint32_t heldMs = 0; /**< shortest time for which the target had such a request */
+    std::vector<std::uint64_t> companions; /**< parts that all these requests had as well */
+
+    friend bool operator==(const PartEvidence &, const PartEvidence &) = default;
+};
+
 /** Answers of one software version on one route that a host has received since the rollout began. */
 struct VersionShare
 {
@@ -80,6 +96,8 @@
     std::uint32_t limitsDigest = 0; /**< of all limits that the sender knows, see TargetLimits::digest() */
     std::vector<LimitShare> limits; /**< only sent if a recipient may know others */
     std::vector<SentShare> sent;
+    std::uint32_t suspectsDigest = 0; /**< see CrashSuspects::digest() */
+    std::vector<PartEvidence> suspects; /**< only sent if a recipient may have other evidence */
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/scheduledrequest.h
+++ b/src/coordination/entry/scheduledrequest.h
@@ -29,6 +29,7 @@
     double promptTokens = 0;
     std::optional<double> expectedOutputTokens;
     std::vector<std::string> excludedTargets; /**< already tried */
+    std::vector<std::uint64_t> parts; /**< of the prompt, that other requests may share */
 };
 
 /** Reason why a request is not sent to a target. */
@@ -37,6 +38,7 @@
     Expired, /**< it has waited too long */
     NoTarget, /**< the service has no target */
     OverQuota, /**< the customer has used its quota */
+    CrashesTargets, /**< targets have crashed at requests with the same part of the prompt */
 };
 
 /** Returns the name of @p reason for the log. */
@@ -54,6 +56,7 @@
     std::uint32_t targetRunning = 0; /**< requests at the target before this one, as far as known */
     std::optional<double> targetLimit; /**< in requests per second from all hosts, as the decider knows it */
     double expectedFirstMs = 0;
+    bool isTrial = false; /**< tests whether a blocked part still crashes targets */
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -31,6 +31,16 @@
 constexpr state::Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr state::Duration MaxRetryAfter = std::chrono::seconds(5);
 
+/** Upper limit of that time for a request that crashes targets: more than callers wait, few attempts by their software.
+ */
+constexpr state::Duration MaxBlockedRetryAfter = std::chrono::minutes(2);
+
+/**
+ * Time from the first event of a stream after which a crash is no longer put down to it: a deadly request crashes its
+ * target when the answer begins.
+ */
+constexpr state::Duration AnswerBegun = std::chrono::milliseconds(500);
+
 } // namespace
 
 std::string_view nameOf(RefusalReason reason)
@@ -44,6 +54,8 @@
         return "no_target";
     case RefusalReason::OverQuota:
         return "quota";
+    case RefusalReason::CrashesTargets:
+        return "crashes_targets";
     }
     return "unknown";
 }
@@ -62,6 +74,7 @@
     , m_quotas(bounds)
     , m_retryBudget(bounds)
     , m_limits(self)
+    , m_suspects(self)
     , m_rollouts(bounds)
     , m_location(std::move(location))
     , m_targetChoice(std::make_unique<ExpectedTimeChoice>(m_location.regionOfDomain))
@@ -92,11 +105,15 @@
     const double remainingMs = state::toMilliseconds(request.deadline - now);
     waiting.expiresAt = now + state::durationFromMilliseconds(remainingMs * MaxWaitShare);
     waiting.excludedTargets = request.excludedTargets;
+    waiting.parts = request.parts;
     averages.service = request.service;
     averages.rank = WaitingQueue::rankOf(waiting, now);
     if (m_targets.ofService(request.service).empty()) {
         return refuse(waiting, RefusalReason::NoTarget, now);
     }
+    if (isBlocked(waiting.parts, waiting.service, now)) {
+        return refuseBlocked(waiting, now);
+    }
     if (now + expectedWait(waiting, now) > waiting.expiresAt) {
         return refuse(waiting, RefusalReason::Overloaded, now);
     }
@@ -121,6 +138,15 @@
     for (const auto &expired : m_queue.takeExpired(now)) {
         decisions.push_back(refuse(expired, RefusalReason::Expired, now));
     }
+    if (m_blockingsApplied != m_suspects.blockings()) {
+        m_blockingsApplied = m_suspects.blockings();
+        const auto isNowBlocked = [&](const WaitingRequest &request) {
+            return isBlocked(request.parts, request.service, now);
+        };
+        for (const auto &blocked : m_queue.takeIf(isNowBlocked)) {
+            decisions.push_back(refuseBlocked(blocked, now));
+        }
+    }
     for (const std::string_view service : m_queue.services()) {
         decideService(service, now, decisions);
     }
@@ -183,7 +209,7 @@
         // share.
         const bool open =
             target->usable(now) && m_rollouts.mayUse(request.service, target->entry().softwareVersion, m_deciders);
-        if (open && target->hasRoom() && !tried && meetsPauseLimit(*target, request)
+        if (open && target->hasRoom() && !tried && meetsPauseLimit(*target, request) && mayHold(*target, request, now)
             && m_limits.mayDispatch(target->hash(), now)) {
             fitting.push_back(target);
         }
@@ -191,6 +217,31 @@
     return fitting;
 }
 
+/** Returns whether a request with @p parts may be sent to no target of @p service now. */
+bool Scheduler::isBlocked(std::span<const std::uint64_t> parts, std::string_view service, state::Time now) const
+{
+    if (parts.empty() || m_suspects.blockedCount() == 0 || m_suspects.trialIsDue(parts, now)) {
+        return false;
+    }
+    const auto targets = m_targets.ofService(service);
+    return std::all_of(targets.begin(), targets.end(), [&](const TargetLoad *target) {
+        return m_suspects.isBlocked(parts, target->build());
+    });
+}
+
+/** Returns whether @p target may get @p request: no part of its prompt is blocked there, or a trial is due. */
+bool Scheduler::mayHold(const TargetLoad &target, const WaitingRequest &request, state::Time now) const
+{
+    return !m_suspects.isBlocked(request.parts, target.build()) || m_suspects.trialIsDue(request.parts, now);
+}
+
+Decision Scheduler::refuseBlocked(const WaitingRequest &request, state::Time now)
+{
+    Decision refusal = refuse(request, RefusalReason::CrashesTargets, now);
+    refusal.retryAfter = std::clamp(m_suspects.timeToTrial(request.parts, now), MinRetryAfter, MaxBlockedRetryAfter);
+    return refusal;
+}
+
 Decision Scheduler::dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now)
 {
     Decision decision;
@@ -201,8 +252,15 @@
     decision.targetLimit = m_limits.rate(target.hash(), now);
     decision.expectedFirstMs = target.expectedFirstMs(request.work);
 
+    if (m_suspects.isBlocked(request.parts, target.build())) {
+        decision.isTrial = true;
+        m_suspects.trialStarted(request.parts, now);
+    }
+
     Attempt attempt;
     attempt.targetHash = target.hash();
+    attempt.build = target.build();
+    attempt.parts = request.parts;
     attempt.route = request.route;
     attempt.work = request.work;
     attempt.expectedOutputTokens = request.expectedOutputTokens;
@@ -241,6 +299,11 @@
     }
     const Attempt attempt = std::move(found->second);
     m_running.erase(found);
+    if (outcome == AttemptOutcome::Crashed) {
+        recordCrash(attempt, now);
+    } else if (outcome == AttemptOutcome::Served && !attempt.acquitted) {
+        m_suspects.answered(attempt.build, attempt.parts, now);
+    }
     TargetLoad *target = m_targets.findByHash(attempt.targetHash);
     if (target != nullptr) {
         target->finished(attempt.work, attempt.firstEventAt.has_value(), outcome, now);
@@ -271,6 +334,28 @@
     }
 }
 
+/** Records the crash of a target at @p attempt, unless its answer had begun before. */
+void Scheduler::recordCrash(const Attempt &attempt, state::Time now)
+{
+    const bool hadBegun = attempt.firstEventAt && now - *attempt.firstEventAt >= AnswerBegun;
+    if (attempt.parts.empty() || hadBegun) {
+        return;
+    }
+    acquitRunning(now);
+    m_suspects.crashed({ attempt.targetHash, attempt.build, attempt.parts, attempt.dispatched }, now);
+}
+
+/** Records the parts of running requests whose answer has begun without a crash. */
+void Scheduler::acquitRunning(state::Time now)
+{
+    for (auto &[id, attempt] : m_running) {
+        if (!attempt.acquitted && attempt.firstEventAt && now - *attempt.firstEventAt >= AnswerBegun) {
+            attempt.acquitted = true;
+            m_suspects.answered(attempt.build, attempt.parts, *attempt.firstEventAt + AnswerBegun);
+        }
+    }
+}
+
 /** Counts the outcome of an attempt for the rollout of its service, if it says anything about the target's version. */
 void Scheduler::countForRollout(const Attempt &attempt,
                                 const TargetLoad *target,
@@ -316,6 +401,7 @@
         targetsChanged();
     }
     m_limits.expire(now);
+    m_suspects.expire(now);
 }
 
 void Scheduler::fillReport(PeerReport &report, state::Time now)
@@ -324,6 +410,7 @@
     report.versions = m_rollouts.shares();
     report.limitsDigest = m_limits.digest();
     report.sent = m_limits.sentShares(now);
+    report.suspectsDigest = m_suspects.digest();
 }
 
 /**
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/crashsuspects.h"
 #include "coordination/entry/fleetretrybudget.h"
 #include "coordination/entry/peertable.h"
 #include "coordination/entry/quotatable.h"
@@ -17,6 +18,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -62,6 +64,12 @@
         return m_limits;
     }
 
+    /** Parts of prompts that are suspected of crashing targets. */
+    CrashSuspects &suspects()
+    {
+        return m_suspects;
+    }
+
     RolloutController &rollouts()
     {
         return m_rollouts;
@@ -118,6 +126,9 @@
     struct Attempt
     {
         std::uint32_t targetHash = 0;
+        std::uint32_t build = 0; /**< of the target, see buildHash() */
+        std::vector<std::uint64_t> parts; /**< of the prompt */
+        bool acquitted = false; /**< the answer shows that the parts do not crash the target */
         std::string route;
         Work work;
         std::optional<double> expectedOutputTokens;
@@ -137,6 +148,11 @@
     Decision dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now);
     state::Duration expectedWait(const WaitingRequest &request, state::Time now);
     void countForRollout(const Attempt &attempt, const TargetLoad *target, AttemptOutcome outcome, double latencyRatio);
+    bool isBlocked(std::span<const std::uint64_t> parts, std::string_view service, state::Time now) const;
+    bool mayHold(const TargetLoad &target, const WaitingRequest &request, state::Time now) const;
+    Decision refuseBlocked(const WaitingRequest &request, state::Time now);
+    void recordCrash(const Attempt &attempt, state::Time now);
+    void acquitRunning(state::Time now);
     Decision refuse(const WaitingRequest &request, RefusalReason reason, state::Time now);
 
     TargetTable m_targets;
@@ -144,6 +160,8 @@
     QuotaTable m_quotas;
     FleetRetryBudget m_retryBudget;
     TargetLimits m_limits;
+    CrashSuspects m_suspects;
+    std::uint64_t m_blockingsApplied = 0; /**< CrashSuspects::blockings() when waiting requests were last checked */
     RolloutController m_rollouts;
     RouteStatistics m_routes;
     WaitingQueue m_queue;
--- a/src/coordination/entry/targetload.cpp
+++ b/src/coordination/entry/targetload.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/targetload.h"
 
+#include "coordination/entry/crashsuspects.h"
 #include "coordination/entry/shorthash.h"
 
 #include <algorithm>
@@ -53,6 +54,7 @@
 TargetLoad::TargetLoad(state::entry::TargetEntry entry)
     : m_entry(std::move(entry))
     , m_hash(shortHash(m_entry.id + '@' + std::to_string(m_entry.startedUnixMs)))
+    , m_build(buildHash(m_entry.service, m_entry.softwareVersion))
     , m_msPerPromptToken(PriorMsPerPromptToken, SampleWeight)
     , m_msPerEvent(PriorMsPerEvent, SampleWeight)
     , m_plainMs(PriorPlainMs, SampleWeight)
@@ -63,6 +65,7 @@
 void TargetLoad::update(state::entry::TargetEntry entry)
 {
     m_entry = std::move(entry);
+    m_build = buildHash(m_entry.service, m_entry.softwareVersion);
 }
 
 void TargetLoad::dispatched(const Work &work)
@@ -101,7 +104,8 @@
     // A target that answers with errors is alive: placement avoids it, but it is never ejected, since a fault of the
     // requests or of the whole service would eject all targets.
     const bool dead = outcome != AttemptOutcome::ServerError;
-    if (dead && (m_consecutiveFailures >= EjectAfter || outcome == AttemptOutcome::Unreachable)) {
+    const bool surely = outcome == AttemptOutcome::Unreachable || outcome == AttemptOutcome::Crashed;
+    if (dead && (m_consecutiveFailures >= EjectAfter || surely)) {
         eject(now);
     }
 }
--- a/src/coordination/entry/targetload.h
+++ b/src/coordination/entry/targetload.h
@@ -26,6 +26,7 @@
     Broken, /**< the connection broke, or the response was malformed */
     Stalled, /**< no bytes for too long */
     Abandoned, /**< ended by the caller or by a time limit; says nothing about the target */
+    Crashed, /**< the connection broke, and the target accepts no new one */
 };
 
 /** Load, estimated speed and health of one target, as seen by this host. */
@@ -44,6 +45,12 @@
         return m_hash;
     }
 
+    /** Returns a number that identifies targets of the same service and software, see buildHash(). */
+    std::uint32_t build() const
+    {
+        return m_build;
+    }
+
     /** Replaces the entry by a newer one of the same incarnation. */
     void update(state::entry::TargetEntry entry);
 
@@ -119,6 +126,7 @@
 
     state::entry::TargetEntry m_entry;
     std::uint32_t m_hash;
+    std::uint32_t m_build;
     std::uint32_t m_ownRunning = 0;
     double m_ownPromptTokens = 0;
     int m_remoteRunning = 0;
--- a/src/coordination/entry/waitingqueue.cpp
+++ b/src/coordination/entry/waitingqueue.cpp
@@ -61,20 +61,27 @@
 
 std::vector<WaitingRequest> WaitingQueue::takeExpired(state::Time now)
 {
-    std::vector<WaitingRequest> expired;
+    return takeIf([now](const WaitingRequest &request) {
+        return request.expiresAt <= now;
+    });
+}
+
+std::vector<WaitingRequest> WaitingQueue::takeIf(const std::function<bool(const WaitingRequest &)> &predicate)
+{
+    std::vector<WaitingRequest> taken;
     for (auto &[service, queues] : m_services) {
         for (auto &[key, queue] : queues) {
-            const auto end = std::stable_partition(queue.begin(), queue.end(), [now](const WaitingRequest &request) {
-                return request.expiresAt > now;
+            const auto end = std::stable_partition(queue.begin(), queue.end(), [&](const WaitingRequest &request) {
+                return !predicate(request);
             });
-            std::move(end, queue.end(), std::back_inserter(expired));
+            std::move(end, queue.end(), std::back_inserter(taken));
             queue.erase(end, queue.end());
         }
     }
-    for (const auto &request : expired) {
+    for (const auto &request : taken) {
         m_queueOf.erase(request.id);
     }
-    return expired;
+    return taken;
 }
 
 std::vector<const WaitingRequest *> WaitingQueue::candidates(std::string_view service, state::Time now) const
--- a/src/coordination/entry/waitingqueue.h
+++ b/src/coordination/entry/waitingqueue.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,6 +32,7 @@
     state::Time latestOnTimeDispatch{}; /**< latest dispatch that still meets the latency target */
     state::Time expiresAt{}; /**< a dispatch after this is of no use to the caller */
     std::vector<std::string> excludedTargets; /**< already tried */
+    std::vector<std::uint64_t> parts; /**< of the prompt, that other requests may share */
 };
 
 /**
@@ -53,6 +55,9 @@
     /** Returns and removes all requests whose expiresAt has passed. */
     std::vector<WaitingRequest> takeExpired(state::Time now);
 
+    /** Returns and removes all requests for which @p predicate returns true. */
+    std::vector<WaitingRequest> takeIf(const std::function<bool(const WaitingRequest &)> &predicate);
+
     /** Returns the next requests of @p service, one for each route, priority and lateness, highest rank first. */
     std::vector<const WaitingRequest *> candidates(std::string_view service, state::Time now) const;
 
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -2,6 +2,9 @@
 
 #include "protocol/binarycodec.h"
 
+#include <algorithm>
+#include <span>
+
 namespace sapphirecove::protocol {
 
 namespace {
@@ -16,11 +19,14 @@
 using coordination::entry::ScheduledRequest;
 
 /** First four bytes of each message; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53434402;
+constexpr std::uint32_t Magic = 0x53434403;
 
 /** Encodes an absent number; a number that is present is never negative. */
 constexpr double NoNumber = -1;
 
+/** Most parts of a prompt in a message; the requester checks those beyond. */
+constexpr std::size_t MaxParts = 64;
+
 /** Visits a number that is not negative or absent. All visit functions serve BinaryWriter and BinaryReader. */
 template <typename Codec, typename Number>
 void visitOptional(Codec &codec, Number &number)
@@ -100,6 +106,11 @@
     for (const auto &target : request.excludedTargets) {
         writer.text(target);
     }
+    const std::size_t parts = std::min(request.parts.size(), MaxParts);
+    writer.number(static_cast<std::uint8_t>(parts));
+    for (const std::uint64_t part : std::span(request.parts).first(parts)) {
+        writer.number(part);
+    }
 }
 
 void read(BinaryReader &reader, ScheduledRequest &request, state::Time now)
@@ -129,6 +140,11 @@
     for (std::uint8_t i = 0; i < excluded && !reader.failed(); ++i) {
         reader.text(request.excludedTargets.emplace_back());
     }
+    std::uint8_t parts = 0;
+    reader.number(parts);
+    for (std::uint8_t i = 0; i < parts && !reader.failed(); ++i) {
+        reader.number(request.parts.emplace_back());
+    }
 }
 
 template <typename Codec, typename Value>
@@ -140,7 +156,7 @@
     codec.flag(refused);
     if (refused) {
         RefusalReason reason = decision.refusal.value_or(RefusalReason::Overloaded);
-        visitEnum(codec, reason, RefusalReason::OverQuota);
+        visitEnum(codec, reason, RefusalReason::CrashesTargets);
         visitDuration(codec, decision.retryAfter);
         if constexpr (!std::is_const_v<Value>) {
             decision.refusal = reason;
@@ -159,6 +175,7 @@
     codec.number(decision.targetRunning);
     visitOptional(codec, decision.targetLimit);
     codec.real(decision.expectedFirstMs);
+    codec.flag(decision.isTrial);
 }
 
 template <typename Codec, typename Value>
@@ -187,7 +204,7 @@
     auto kind = update.kind;
     auto outcome = update.outcome;
     visitEnum(codec, kind, AttemptUpdate::Kind::Withdrawn);
-    visitEnum(codec, outcome, AttemptOutcome::Abandoned);
+    visitEnum(codec, outcome, AttemptOutcome::Crashed);
     if constexpr (!std::is_const_v<Value>) {
         update.kind = kind;
         update.outcome = outcome;
@@ -214,6 +231,10 @@
     visitList(codec, reportReply.limits, [&codec](auto &limit) {
         visitLimit(codec, limit);
     });
+    codec.number(reportReply.suspectsDigest);
+    visitList(codec, reportReply.suspects, [&codec](auto &evidence) {
+        visitEvidence(codec, evidence);
+    });
 }
 
 void write(BinaryWriter &writer, const DecisionRequest &decisionRequest, state::Time now)
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -12,6 +12,7 @@
 
 using coordination::entry::ActiveRequest;
 using coordination::entry::LimitShare;
+using coordination::entry::PartEvidence;
 using coordination::entry::PeerReport;
 using coordination::entry::QuotaShare;
 using coordination::entry::SentShare;
@@ -19,7 +20,7 @@
 using coordination::entry::VersionShare;
 
 /** First four bytes of each report; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53435203;
+constexpr std::uint32_t Magic = 0x53435204;
 
 // Each visit function lists the fields of one struct in wire order, for both BinaryWriter and BinaryReader.
 
@@ -77,6 +78,13 @@
     codec.number(share.requests);
 }
 
+template <typename Codec, typename Share>
+requires std::same_as<std::remove_const_t<Share>, PartEvidence>
+void visit(Codec &codec, Share &share)
+{
+    visitEvidence(codec, share);
+}
+
 template <typename Share>
 void writeList(BinaryWriter &writer, const std::vector<Share> &shares)
 {
@@ -126,6 +134,8 @@
     writer.number(report.limitsDigest);
     writeList(writer, report.limits);
     writeList(writer, report.sent);
+    writer.number(report.suspectsDigest);
+    writeList(writer, report.suspects);
     return writer.take();
 }
 
@@ -149,6 +159,8 @@
     reader.number(report.limitsDigest);
     readList(reader, report.limits);
     readList(reader, report.sent);
+    reader.number(report.suspectsDigest);
+    readList(reader, report.suspects);
     if (reader.failed() || !reader.atEnd()) {
         return state::fail(step, report.host, "malformed, truncated or followed by extra bytes");
     }
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -216,6 +216,7 @@
     m_fleet.setTargetsConfirmed(m_context.targetsConfirmed, coordination::entry::maxTargetsAge(m_settings.bounds));
     m_fleet.tick(now);
     logLearnedLimits(now);
+    logSuspectChanges();
     logDeciderChange(now);
     m_peers->sendDueReports(now);
     if (m_context.stopping) {
@@ -249,6 +250,20 @@
     }
 }
 
+/** Logs the parts of prompts that are now blocked or no longer blocked. */
+void EntryHost::logSuspectChanges()
+{
+    for (const auto &change : m_scheduler->suspects().takeChanges()) {
+        m_context.metrics.count(change.blocked ? "parts_blocked_total" : "parts_unblocked_total");
+        logEvent(change.blocked ? "part_blocked" : "part_unblocked",
+                 { { "part", describeParts(std::span(&change.part, 1)) },
+                   { "with", describeParts(change.companions) },
+                   { "crashes", std::to_string(change.crashes) },
+                   { "suspects", std::to_string(m_scheduler->suspects().suspectCount()) },
+                   { "decides", m_fleet.isActiveDecider(m_context.now()) ? "yes" : "no" } });
+    }
+}
+
 /** Logs the host that decides for this one if it has changed. */
 void EntryHost::logDeciderChange(state::Time now)
 {
@@ -382,6 +397,8 @@
     text += "sapphirecove_decider " + std::to_string(m_fleet.isActiveDecider(m_context.now()) ? 1 : 0) + '\n';
     text += "sapphirecove_requests_asked " + std::to_string(m_fleet.awaitingDecision()) + '\n';
     text += "sapphirecove_targets " + std::to_string(m_scheduler->targets().size()) + '\n';
+    text += "sapphirecove_suspect_parts " + std::to_string(m_scheduler->suspects().suspectCount()) + '\n';
+    text += "sapphirecove_blocked_parts " + std::to_string(m_scheduler->suspects().blockedCount()) + '\n';
     text += "sapphirecove_target_limits " + std::to_string(m_scheduler->limits().inForce()) + '\n';
     return makeResponse(request, http::status::ok, MetricsMediaType, std::move(text));
 }
--- a/src/transport/entry/entryhost.h
+++ b/src/transport/entry/entryhost.h
@@ -76,6 +76,7 @@
     void scheduleTick();
     void updatePeers(state::Time now);
     void logLearnedLimits(state::Time now);
+    void logSuspectChanges();
     void logDeciderChange(state::Time now);
     void waitForSignal();
     void reload();
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -3,6 +3,7 @@
 #include "coordination/entry/connectionlimit.h"
 #include "transport/beaststring.h"
 #include "transport/entry/format.h"
+#include "transport/entry/targetprobe.h"
 #include "transport/log.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -76,6 +77,8 @@
         return "stalled";
     case AttemptOutcome::Abandoned:
         return "abandoned";
+    case AttemptOutcome::Crashed:
+        return "crashed";
     }
     return "unknown";
 }
@@ -170,6 +173,7 @@
     request.promptTokens = m_admitted.fields.promptTokens;
     request.expectedOutputTokens = m_admitted.fields.expectedOutputTokens;
     request.excludedTargets = m_triedTargets;
+    request.parts = m_admitted.fields.promptParts;
     if (!m_quotaCharged) {
         request.customer = m_admitted.customer;
         request.cost = m_admitted.cost;
@@ -188,6 +192,7 @@
         co_return makeErrorResponse(m_mayHaveRun ? http::status::gateway_timeout : http::status::service_unavailable,
                                     "timed_out");
     }
+    refuseIfBlocked();
     if (m_decision->refusal) {
         const auto reason = coordination::entry::nameOf(*m_decision->refusal);
         logEvent("refused",
@@ -216,6 +221,22 @@
     co_return std::nullopt;
 }
 
+/** Turns the decision into a refusal if this host knows that the request crashes targets and the decider did not. */
+void Exchange::refuseIfBlocked()
+{
+    const auto &parts = m_admitted.fields.promptParts;
+    const auto &suspects = m_context.scheduler.suspects();
+    const auto &target = m_decision->target;
+    const std::uint32_t build = coordination::entry::buildHash(target.service, target.softwareVersion);
+    if (m_decision->refusal || m_decision->isTrial || !suspects.isBlocked(parts, build)) {
+        return;
+    }
+    const state::Time now = m_context.now();
+    m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
+    m_decision->refusal = RefusalReason::CrashesTargets;
+    m_decision->retryAfter = std::max(TargetRetryAfter, suspects.timeToTrial(parts, now));
+}
+
 asio::awaitable<AttemptResult> Exchange::runAttempt()
 {
     const state::Time now = m_context.now();
@@ -240,6 +261,7 @@
                { "decider_limit", describeRate(m_decision->targetLimit) },
                { "expected_first_ms", std::to_string(static_cast<int>(m_decision->expectedFirstMs)) },
                { "parts", describeParts(m_admitted.fields.promptParts) },
+               { "trial", m_decision->isTrial ? "yes" : "no" },
                { "waited_ms", milliseconds(now - m_arrived) },
                { "attempt", std::to_string(m_triedTargets.size()) } });
     Request request = m_request;
@@ -258,6 +280,11 @@
         m_lastEventId = m_attempt->lastEventId();
     }
     m_attempt.reset();
+    if (result.outcome == AttemptOutcome::Broken && !m_admitted.fields.promptParts.empty()) {
+        const protocol::Endpoint endpoint{ entry.address, entry.port };
+        const bool refused = co_await refusesConnections(m_context.io, endpoint);
+        result.outcome = refused ? AttemptOutcome::Crashed : result.outcome;
+    }
     if (result.outcome == AttemptOutcome::NotExecuted && result.response
         && result.response->result() == http::status::misdirected_request) {
         result.outcome = AttemptOutcome::Misdirected;
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -46,6 +46,7 @@
     enum class State { Open, CallerDisconnected, TimedOut };
 
     boost::asio::awaitable<std::optional<Response>> waitForTarget();
+    void refuseIfBlocked();
     boost::asio::awaitable<AttemptResult> runAttempt();
     bool mayRetry(const AttemptResult &result);
     Response finalResponse(AttemptResult result);
--- a/src/transport/entry/format.h
+++ b/src/transport/entry/format.h
@@ -21,9 +21,9 @@
 /** Returns the first of @p parts in hexadecimal, separated by commas, or "none", for the log. */
 inline std::string describeParts(std::span<const std::uint64_t> parts)
 {
-    constexpr std::size_t MaxLogged = 8;
+    constexpr std::size_t maxLogged = 8;
     std::string text;
-    for (const std::uint64_t part : parts.first(std::min(parts.size(), MaxLogged))) {
+    for (const std::uint64_t part : parts.first(std::min(parts.size(), maxLogged))) {
         char digits[24];
         std::snprintf(digits, sizeof digits, "%s%llx", text.empty() ? "" : ",", static_cast<unsigned long long>(part));
         text += digits;
--- a/src/transport/entry/metadatastore.h
+++ b/src/transport/entry/metadatastore.h
@@ -20,6 +20,7 @@
     RolloutStatus, /**< outcomes of rollouts, written by hosts */
     Hosts, /**< addresses of the hosts themselves */
     QuotaUse, /**< quota use of the customers, written by hosts */
+    BlockedParts, /**< parts of prompts that crash targets, written by hosts */
 };
 
 /** Record of a topic, the newest of its key. */
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -2,6 +2,7 @@
 
 #include "coordination/entry/confirmation.h"
 #include "protocol/hostrecordcodec.h"
+#include "protocol/partevidencecodec.h"
 #include "protocol/quotausecodec.h"
 #include "transport/log.h"
 
@@ -61,15 +62,16 @@
 /** Interval of checks whether the list of hosts has to be read again, as is the case while no other host responds. */
 constexpr state::Duration HostListCheckInterval = std::chrono::seconds(3);
 
-/** Interval of checks whether the quota usage is due to be stored; bounds what a failure of all hosts loses. */
-constexpr state::Duration QuotaUseCheckInterval = std::chrono::milliseconds(100);
+/** Interval of checks whether state of the decider is due to be stored; bounds what a failure of all hosts loses. */
+constexpr state::Duration DeciderStateCheckInterval = std::chrono::milliseconds(100);
 
 /** Interval at which rollouts are evaluated, and at which hosts that publish no outcomes read the published ones. */
 constexpr state::Duration RolloutCheckInterval = std::chrono::milliseconds(150);
 constexpr state::Duration RolloutStatusInterval = std::chrono::milliseconds(1000);
 
-/** Key of the record with the quota usage. */
+/** Keys of the records with the quota usage and with the evidence against blocked parts. */
 constexpr std::string_view QuotaUseKey = "use";
+constexpr std::string_view BlockedPartsKey = "parts";
 
 /** Time after the store is available again in which entries that expired in the meantime may still be missing. */
 constexpr state::Duration ExpiredEntriesWindow = std::chrono::milliseconds(2000);
@@ -87,6 +89,8 @@
         return "hosts";
     case StoreTopic::QuotaUse:
         return "quota_use";
+    case StoreTopic::BlockedParts:
+        return "blocked_parts";
     }
     return "unknown";
 }
@@ -114,13 +118,14 @@
     asio::co_spawn(m_context.io, followOperator(), asio::detached);
     asio::co_spawn(m_context.io, followTargets(), asio::detached);
     asio::co_spawn(m_context.io, discoverHosts(), asio::detached);
-    asio::co_spawn(m_context.io, persistQuotaUse(), asio::detached);
+    asio::co_spawn(m_context.io, persistDeciderState(), asio::detached);
     asio::co_spawn(m_context.io, runRollouts(), asio::detached);
 }
 
 asio::awaitable<void> StoreFollower::followOperator()
 {
     co_await restoreQuotaUse();
+    co_await restoreBlockedParts();
     for (;;) {
         const bool newer = m_context.announcedVersion > (m_context.table ? m_context.table->version() : 0);
         if (newer && !m_context.fleet.directory().isCandidate(m_context.now()) && co_await fetchFromPeer()) {
@@ -350,26 +355,82 @@
     }
 }
 
-/** Stores the quota usage, so that it survives a failure of all hosts. Of hosts with the same view, one writes. */
-asio::awaitable<void> StoreFollower::persistQuotaUse()
+/** Reads which parts of prompts were blocked before this host started, so that it does not send requests with them. */
+asio::awaitable<void> StoreFollower::restoreBlockedParts()
 {
-    for (;;) {
-        co_await sleepFor(QuotaUseCheckInterval);
-        if (!m_context.table || !isDecider()) {
-            continue;
-        }
-        const auto use = m_context.scheduler.quotas().useToStore(m_context.now());
-        if (!use) {
+    if (m_context.settings.firstStart) {
+        co_return;
+    }
+    const StorePage page = co_await m_store.readNewest(StoreTopic::BlockedParts, CallTimeout);
+    if (page.failure) {
+        logFailure("blocked_parts_not_read", *page.failure);
+        co_return;
+    }
+    auto &suspects = m_context.scheduler.suspects();
+    for (const auto &record : page.records) {
+        if (record.key != BlockedPartsKey || !record.value) {
             continue;
         }
-        const StoreAppendResult result = co_await m_store.append(
-            StoreTopic::QuotaUse, std::string(QuotaUseKey), protocol::encodeQuotaUse(*use), std::nullopt, CallTimeout);
-        if (result.outcome != StoreAppendResult::Outcome::Stored) {
-            m_context.metrics.count("quota_use_unstored_total");
+        state::handleFailure(
+            [&]() -> state::Result<void> {
+                BOOST_LEAF_AUTO(evidence, protocol::decodePartEvidence(*record.value));
+                logEvent("blocked_parts_restored", { { "crashes", std::to_string(evidence.size()) } });
+                suspects.merge(evidence, m_context.now());
+                return {};
+            },
+            [](const state::Failure &failure) {
+                logFailure("blocked_parts_rejected", failure);
+            });
+    }
+    suspects.evidenceStored(suspects.blockedDigest());
+}
+
+/** Stores what a failure of all hosts must not lose. Of hosts with the same view, the decider writes. */
+asio::awaitable<void> StoreFollower::persistDeciderState()
+{
+    for (;;) {
+        co_await sleepFor(DeciderStateCheckInterval);
+        if (m_context.table && isDecider()) {
+            co_await persistQuotaUse();
+            co_await persistBlockedParts();
         }
     }
 }
 
+asio::awaitable<void> StoreFollower::persistQuotaUse()
+{
+    const auto use = m_context.scheduler.quotas().useToStore(m_context.now());
+    if (!use) {
+        co_return;
+    }
+    const StoreAppendResult result = co_await m_store.append(
+        StoreTopic::QuotaUse, std::string(QuotaUseKey), protocol::encodeQuotaUse(*use), std::nullopt, CallTimeout);
+    if (result.outcome != StoreAppendResult::Outcome::Stored) {
+        m_context.metrics.count("quota_use_unstored_total");
+    }
+}
+
+asio::awaitable<void> StoreFollower::persistBlockedParts()
+{
+    auto &suspects = m_context.scheduler.suspects();
+    const auto evidence = suspects.evidenceToStore(m_context.now());
+    if (!evidence || m_context.now() < m_blockedPartsRetryAt) {
+        co_return;
+    }
+    const std::uint32_t digest = suspects.blockedDigest();
+    const StoreAppendResult result = co_await m_store.append(StoreTopic::BlockedParts,
+                                                             std::string(BlockedPartsKey),
+                                                             protocol::encodePartEvidence(*evidence),
+                                                             std::nullopt,
+                                                             CallTimeout);
+    if (result.outcome == StoreAppendResult::Outcome::Stored) {
+        suspects.evidenceStored(digest);
+        co_return;
+    }
+    m_context.metrics.count("blocked_parts_unstored_total");
+    m_blockedPartsRetryAt = m_context.now() + MaxRetryDelay;
+}
+
 /** Evaluates the rollouts, reads published outcomes, and publishes outcomes if this host is the decider. */
 asio::awaitable<void> StoreFollower::runRollouts()
 {
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -57,7 +57,10 @@
     boost::asio::awaitable<void> discoverHosts();
     bool isDecider() const;
     boost::asio::awaitable<void> restoreQuotaUse();
+    boost::asio::awaitable<void> restoreBlockedParts();
+    boost::asio::awaitable<void> persistDeciderState();
     boost::asio::awaitable<void> persistQuotaUse();
+    boost::asio::awaitable<void> persistBlockedParts();
     boost::asio::awaitable<void> runRollouts();
     boost::asio::awaitable<std::optional<std::uint64_t>> readRolloutStatus();
     boost::asio::awaitable<bool> publishRolloutStatus(state::entry::RolloutStatus status);
@@ -76,6 +79,7 @@
     std::string m_encodedRecords; /**< encoded m_operatorRecords; empty if they have changed since */
     state::Time m_started{};
     bool m_hostsKnown = false; /**< a read of the list of hosts has succeeded or failed */
+    state::Time m_blockedPartsRetryAt{}; /**< after a failure to store them */
     TopicState m_operatorTopic;
     TopicState m_targetsTopic;
 };
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -1,6 +1,7 @@
 #include "tests/coordination/entry/simulatedfleet.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphirecove::tests::entry {
 
@@ -16,6 +17,12 @@
 /** Time from the arrival of a request at its target to the head of the response at the host. */
 constexpr state::Duration ResponseDelay = milliseconds(40);
 
+/** Time from the arrival of a request at its target to the beginning of the answer. */
+constexpr state::Duration AnswerDelay = milliseconds(150);
+
+/** Time after which a target that has crashed is back. */
+constexpr state::Duration DownTime = milliseconds(3000);
+
 std::string nameOf(int host)
 {
     return "host-" + std::to_string(host);
@@ -123,7 +130,9 @@
         }
     }
     for (int i = 0; i < m_options.targets; ++i) {
-        simulatedHost.scheduler->targets().listed(makeTarget("t" + std::to_string(i), m_options.slots));
+        auto entry = makeTarget("t" + std::to_string(i), m_options.slots);
+        entry.startedUnixMs += m_starts[entry.id];
+        simulatedHost.scheduler->targets().listed(entry);
     }
     if (m_options.quotaRate > 0) {
         simulatedHost.scheduler->quotas().configure(makeQuota("c", m_options.quotaRate, 0), true, m_now);
@@ -220,6 +229,7 @@
 {
     request.id = ++m_lastId;
     m_work[request.id] = work;
+    m_parts[request.id] = request.parts;
     SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
     const std::uint64_t id = request.id;
     simulatedHost.fleet.submit(std::move(request), m_now);
@@ -236,17 +246,70 @@
     if (decision.refusal) {
         return;
     }
+    const std::string target = decision.target.id;
+    const auto &parts = m_parts[id];
+    const bool isDeadly = std::any_of(parts.begin(), parts.end(), [this](std::uint64_t part) {
+        return m_deadlyParts.contains(part);
+    });
+    const bool isGone = decision.target.startedUnixMs != 0
+        && decision.target.startedUnixMs != makeTarget(target).startedUnixMs + m_starts[target];
+    if (m_crashed.contains(target) || isGone) {
+        m_events.emplace(m_now + milliseconds(2), [this, host, id] {
+            ended(host, id, AttemptOutcome::Unreachable);
+        });
+        return;
+    }
     respond(host, decision);
-    auto &running = m_atTarget[decision.target.id];
-    running.insert(id);
+    if (isDeadly) {
+        m_deadlyArrivals.push_back(m_now);
+        m_events.emplace(m_now + AnswerDelay, [this, id, target] {
+            if (m_atTarget[target].contains(id)) {
+                m_deadlyCrashes.push_back(m_now);
+                crash(target);
+            }
+        });
+    }
+    auto &running = m_atTarget[target];
+    running[id] = host;
     m_highestLoad = std::max(m_highestLoad, static_cast<std::uint32_t>(running.size()));
-    const std::string target = decision.target.id;
     m_events.emplace(m_now + m_work[id], [this, host, id, target] {
-        m_atTarget[target].erase(id);
-        ended(host, id);
+        if (m_atTarget[target].erase(id) > 0) {
+            ended(host, id, AttemptOutcome::Served);
+        }
+    });
+}
+
+void SimulatedFleet::crash(const std::string &target)
+{
+    for (const auto &[id, host] : std::exchange(m_atTarget[target], {})) {
+        m_events.emplace(m_now + milliseconds(2), [this, id = id, host = host] {
+            ended(host, id, AttemptOutcome::Crashed);
+        });
+    }
+    m_crashed.insert(target);
+    m_events.emplace(m_now + DownTime, [this, target] {
+        m_crashed.erase(target);
+        ++m_starts[target];
+        relist(target);
     });
 }
 
+/** Tells all hosts of the present incarnation of @p target. */
+void SimulatedFleet::relist(const std::string &target)
+{
+    auto entry = makeTarget(target, m_options.slots);
+    entry.startedUnixMs += m_starts[target];
+    for (auto &simulatedHost : m_hosts) {
+        simulatedHost->scheduler->targets().listed(entry);
+        simulatedHost->scheduler->targetsChanged();
+    }
+}
+
+void SimulatedFleet::setDeadlyParts(std::set<std::uint64_t> parts)
+{
+    m_deadlyParts = std::move(parts);
+}
+
 /** Records the arrival of a request and sends the head of the response, with what the target states then. */
 void SimulatedFleet::respond(int host, const Decision &decision)
 {
@@ -271,19 +334,19 @@
 }
 
 /** Tells the host that its request has ended; a paused host gets to know when it resumes. */
-void SimulatedFleet::ended(int host, std::uint64_t id)
+void SimulatedFleet::ended(int host, std::uint64_t id, AttemptOutcome outcome)
 {
     SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
     if (!simulatedHost.alive) {
         return;
     }
     if (simulatedHost.paused) {
-        simulatedHost.queued.push_back([id](SimulatedHost &resumed) {
-            resumed.fleet.finished(id, AttemptOutcome::Served, 10, resumed.fleetOwner.m_now);
+        simulatedHost.queued.push_back([id, outcome](SimulatedHost &resumed) {
+            resumed.fleet.finished(id, outcome, 10, resumed.fleetOwner.m_now);
         });
         return;
     }
-    simulatedHost.fleet.finished(id, AttemptOutcome::Served, 10, m_now);
+    simulatedHost.fleet.finished(id, outcome, 10, m_now);
 }
 
 void SimulatedFleet::pause(int host, bool queuesMessages)
--- a/tests/coordination/entry/simulatedfleet.h
+++ b/tests/coordination/entry/simulatedfleet.h
@@ -55,6 +55,24 @@
     /** Makes the responses of @p target state @p statement from now on. */
     void setStatement(const std::string &target, const RateStatement &statement);
 
+    /** Makes targets crash when they begin to answer a request with one of @p parts of a prompt. */
+    void setDeadlyParts(std::set<std::uint64_t> parts);
+
+    /** Ends all requests at @p target; it refuses requests for some seconds and is then another incarnation. */
+    void crash(const std::string &target);
+
+    /** Times at which targets crashed by a request with a deadly part. */
+    const std::vector<state::Time> &deadlyCrashes() const
+    {
+        return m_deadlyCrashes;
+    }
+
+    /** Times at which requests with a deadly part reached targets. */
+    const std::vector<state::Time> &deadlyArrivals() const
+    {
+        return m_deadlyArrivals;
+    }
+
     /** Makes discovery refuse host @p host: its list of targets is no longer updated or confirmed. */
     void denyDiscovery(int host);
 
@@ -122,7 +140,8 @@
     void prepare(SimulatedHost &simulatedHost);
     void placed(int host, const Decision &decision);
     void respond(int host, const Decision &decision);
-    void ended(int host, std::uint64_t id);
+    void ended(int host, std::uint64_t id, AttemptOutcome outcome);
+    void relist(const std::string &target);
     void report(int host);
 
     Options m_options;
@@ -135,7 +154,13 @@
     std::set<std::pair<int, int>> m_partitions;
     std::map<std::uint64_t, Decision> m_decisions;
     std::map<std::uint64_t, state::Duration> m_work;
-    std::map<std::string, std::set<std::uint64_t>> m_atTarget;
+    std::map<std::string, std::map<std::uint64_t, int>> m_atTarget; /**< running requests and their hosts */
+    std::map<std::uint64_t, std::vector<std::uint64_t>> m_parts; /**< of requests' prompts */
+    std::set<std::uint64_t> m_deadlyParts;
+    std::set<std::string> m_crashed; /**< targets that refuse requests now */
+    std::map<std::string, std::int64_t> m_starts; /**< of targets, to tell incarnations apart */
+    std::vector<state::Time> m_deadlyCrashes;
+    std::vector<state::Time> m_deadlyArrivals;
     std::map<std::string, RateStatement> m_statements;
     std::map<std::string, std::vector<Arrival>> m_arrivals;
     std::map<std::pair<std::string, int>, state::Time> m_limitToldAt;
--- /dev/null
+++ b/tests/coordination/entry/testcrashsuspects.cpp
@@ -0,0 +1,323 @@
+#include "coordination/entry/crashsuspects.h"
+#include "tests/coordination/entry/requests.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace sapphirecove;
+using namespace sapphirecove::tests::entry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Parts = std::vector<std::uint64_t>;
+
+namespace {
+
+constexpr std::uint64_t Deadly = 0xdead;
+constexpr std::uint64_t Shared = 0x5a;
+constexpr std::uint32_t Build = 7;
+constexpr std::uint32_t OtherBuild = 8;
+constexpr state::Duration Held = milliseconds(100);
+
+/** Records that @p target crashed at a request with @p parts that it had held for a short time. */
+void crash(CrashSuspects &suspects,
+           std::uint32_t target,
+           const Parts &parts,
+           state::Time now,
+           std::uint32_t build = Build,
+           state::Duration held = Held)
+{
+    suspects.crashed({ target, build, parts, now - held }, now);
+}
+
+/** Records @p count crashes at requests with @p parts, one a second from @p begin on; returns the time of the last. */
+state::Time crashes(CrashSuspects &suspects, int count, const Parts &parts, state::Time begin, std::uint32_t first = 1)
+{
+    state::Time now = begin;
+    for (int i = 0; i < count; ++i) {
+        now = begin + seconds(i);
+        crash(suspects, first + static_cast<std::uint32_t>(i), parts, now);
+    }
+    return now;
+}
+
+} // namespace
+
+TEST_CASE("a part is blocked after several crashes in a row", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    crashes(suspects, 2, { Deadly }, Start);
+    CHECK_FALSE(suspects.isBlocked(Parts{ Deadly }, Build));
+    crash(suspects, 9, { Deadly }, Start + seconds(3));
+    CHECK(suspects.isBlocked(Parts{ Shared, Deadly }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ Shared }, Build));
+    CHECK(suspects.takeUrgent());
+    REQUIRE(suspects.takeChanges().size() == 1);
+}
+
+// Guards against blame by the failure of a domain, a kill of many targets, or the end of a rollout's old ones.
+TEST_CASE("crashes at the same moment count as one", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    for (std::uint32_t target = 1; target <= 50; ++target) {
+        crash(suspects, target, { Shared }, Start + milliseconds(target), Build, seconds(2));
+    }
+    CHECK_FALSE(suspects.isBlocked(Parts{ Shared }, Build));
+}
+
+// A fast engine crashes so soon that the time between crashes does not tell them apart.
+TEST_CASE("a crash at a request that was sent after another crash counts separately", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    for (std::uint32_t target = 1; target <= 3; ++target) {
+        crash(suspects, target, { Deadly }, Start + milliseconds(4 * target), Build, milliseconds(2));
+    }
+    CHECK(suspects.isBlocked(Parts{ Deadly }, Build));
+}
+
+TEST_CASE("one crash counts once, however many requests and deciders see it", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    CrashSuspects other(2);
+    for (int i = 0; i < 6; ++i) {
+        crash(suspects, 1, { Deadly }, Start + seconds(i));
+        crash(other, 1, { Deadly }, Start + milliseconds(700 * i));
+    }
+    suspects.merge(other.shares(Start + seconds(6)), Start + seconds(6));
+    CHECK_FALSE(suspects.isBlocked(Parts{ Deadly }, Build));
+}
+
+// Guards against LOST: sound requests share their other parts with the deadly ones.
+TEST_CASE("a part that is answered in between is not blocked", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    for (std::uint32_t target = 1; target <= 6; ++target) {
+        const state::Time now = Start + seconds(target);
+        crash(suspects, target, { Shared, Deadly }, now);
+        suspects.answered(Build, Parts{ Shared }, now + milliseconds(300));
+    }
+    CHECK_FALSE(suspects.isBlocked(Parts{ Shared }, Build));
+    CHECK(suspects.isBlocked(Parts{ Deadly }, Build));
+}
+
+// Guards against LOST: until a request with the shared part is answered, nothing tells it from the deadly one.
+TEST_CASE("of parts that always come together only requests with all of them are blocked", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    const state::Time last = crashes(suspects, 3, { Shared, Deadly }, Start);
+    CHECK(suspects.isBlocked(Parts{ Shared, Deadly }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ Shared, 0xb }, Build));
+    SECTION("an answer to a request with one of them leaves the other")
+    {
+        suspects.answered(Build, Parts{ Shared, 0xb }, last + milliseconds(50));
+        CHECK(suspects.isBlocked(Parts{ Deadly }, Build));
+    }
+    SECTION("a crash at a request with only one of them blocks it alone")
+    {
+        crash(suspects, 9, { 0xc, Deadly }, last + seconds(1));
+        CHECK(suspects.isBlocked(Parts{ Deadly }, Build));
+        CHECK_FALSE(suspects.isBlocked(Parts{ Shared, 0xb }, Build));
+    }
+}
+
+// Guards against LOST: a part that all requests share is there at every crash, and nothing may be answered in a storm.
+TEST_CASE("a part that many broken requests share is not blocked beside a rare one", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    for (std::uint32_t target = 1; target <= 6; ++target) {
+        const state::Time now = Start + seconds(target);
+        crash(suspects, target, { Shared, Deadly }, now);
+        for (std::uint64_t i = 0; i < 4; ++i) {
+            crash(suspects, target, { Shared, 100 * target + i }, now);
+        }
+    }
+    CHECK(suspects.isBlocked(Parts{ Shared, Deadly }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ Shared, 0xb }, Build));
+    CHECK(suspects.blockedCount() == 1);
+}
+
+TEST_CASE("a part that was there at some crashes of another one is not blocked", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    constexpr std::uint64_t busy = 0xb5;
+    for (std::uint32_t target = 1; target <= 5; ++target) {
+        const state::Time now = Start + seconds(target);
+        crash(suspects, target, { Deadly }, now);
+        if (target != 2) {
+            crash(suspects, target, { busy }, now);
+        }
+    }
+    CHECK(suspects.isBlocked(Parts{ Deadly }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ busy }, Build));
+}
+
+TEST_CASE("two deadly parts are both blocked", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    for (std::uint32_t i = 0; i < 3; ++i) {
+        crash(suspects, 2 * i + 1, { Shared, Deadly }, Start + milliseconds(400 * i));
+        crash(suspects, 2 * i + 2, { Shared, 0xdead2 }, Start + milliseconds(400 * i + 200));
+    }
+    CHECK(suspects.isBlocked(Parts{ Shared, Deadly }, Build));
+    CHECK(suspects.isBlocked(Parts{ Shared, 0xdead2 }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ Shared, 0xb }, Build));
+}
+
+TEST_CASE("a part that crashes some versions only is blocked at these", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    for (std::uint32_t target = 1; target <= 3; ++target) {
+        const state::Time now = Start + seconds(target);
+        crash(suspects, target, { Deadly }, now);
+        suspects.answered(OtherBuild, Parts{ Deadly }, now + milliseconds(10));
+    }
+    CHECK(suspects.isBlocked(Parts{ Deadly }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ Deadly }, OtherBuild));
+    CHECK(suspects.isBlocked(Parts{ Deadly }, OtherBuild + 1)); // Nothing is known of a new version.
+}
+
+TEST_CASE("a blocked part gets one trial at a time, later after each crash, and few in all", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    state::Time now = crashes(suspects, 3, { Deadly }, Start);
+    const Parts parts{ Deadly };
+    CHECK_FALSE(suspects.trialIsDue(parts, now));
+    CHECK(suspects.timeToTrial(parts, now) == CrashSuspects::FirstQuarantine);
+    now += CrashSuspects::FirstQuarantine;
+    REQUIRE(suspects.trialIsDue(parts, now));
+    suspects.trialStarted(parts, now);
+    CHECK_FALSE(suspects.trialIsDue(parts, now));
+    SECTION("an answer unblocks the part")
+    {
+        suspects.answered(Build, parts, now + seconds(1));
+        CHECK_FALSE(suspects.isBlocked(parts, Build));
+    }
+    SECTION("crashes go on")
+    {
+        int trials = 1;
+        const state::Time end = now + std::chrono::hours(5);
+        crash(suspects, 100, parts, now + Held);
+        for (now += seconds(1); now < end; now += seconds(1)) {
+            suspects.expire(now);
+            CHECK(suspects.isBlocked(parts, Build));
+            if (suspects.trialIsDue(parts, now)) {
+                ++trials;
+                suspects.trialStarted(parts, now);
+                crash(suspects, 100 + static_cast<std::uint32_t>(trials), parts, now + Held);
+            }
+        }
+        // Two of them are the fourth and the fifth crash; three may follow these.
+        CHECK(trials == 5);
+    }
+}
+
+TEST_CASE("a block ends when the part has not crashed a target for hours", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    const state::Time last = crashes(suspects, 9, { Deadly }, Start);
+    suspects.expire(last + CrashSuspects::KeepBlocked - seconds(10));
+    CHECK(suspects.isBlocked(Parts{ Deadly }, Build));
+    suspects.expire(last + CrashSuspects::KeepBlocked + seconds(1));
+    CHECK_FALSE(suspects.isBlocked(Parts{ Deadly }, Build));
+    CHECK(suspects.suspectCount() == 0);
+}
+
+// Guards against a host that takes old news for new: an answer that it hears of late, and crashes that it hears again.
+TEST_CASE("an answer that another host saw counts, and crashes before it do not come back", "[entry][crash]")
+{
+    CrashSuspects first(1);
+    CrashSuspects second(2);
+    const state::Time last = crashes(first, 3, { Shared }, Start);
+    const auto old = first.shares(last);
+    second.merge(old, last);
+    CHECK(second.isBlocked(Parts{ Shared }, Build));
+    const state::Time answer = last + seconds(1);
+    second.answered(Build, Parts{ Shared }, answer);
+    CHECK_FALSE(second.isBlocked(Parts{ Shared }, Build));
+    first.merge(second.shares(answer + milliseconds(20)), answer + milliseconds(20));
+    CHECK_FALSE(first.isBlocked(Parts{ Shared }, Build));
+    second.merge(old, last + milliseconds(30));
+    CHECK_FALSE(second.isBlocked(Parts{ Shared }, Build));
+}
+
+TEST_CASE("hosts that exchange their evidence in any order come to the same blocks", "[entry][crash][random]")
+{
+    for (std::uint32_t seed = 1; seed <= 200; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937 random(seed);
+        const auto pick = [&random](int first, int last) {
+            return std::uniform_int_distribution<int>(first, last)(random);
+        };
+        std::vector<CrashSuspects> hosts;
+        for (std::uint32_t host = 1; host <= 4; ++host) {
+            hosts.emplace_back(host);
+        }
+        state::Time now = Start;
+        const int crashCount = pick(3, 8);
+        for (int i = 0; i < crashCount; ++i) {
+            now += milliseconds(pick(1, 800));
+            const auto target = static_cast<std::uint32_t>(i + 1);
+            crash(hosts[static_cast<std::size_t>(pick(0, 3))], target, { Shared, Deadly }, now);
+            for (int other = pick(0, 3); other > 0; --other) {
+                const Parts parts{ Shared, static_cast<std::uint64_t>(pick(1, 4)) };
+                crash(hosts[static_cast<std::size_t>(pick(0, 3))], target, parts, now);
+            }
+            hosts[static_cast<std::size_t>(pick(0, 3))].answered(Build, Parts{ Shared }, now + milliseconds(1));
+        }
+        std::vector<std::pair<std::size_t, std::size_t>> exchanges;
+        for (int round = 0; round < 3; ++round) {
+            for (std::size_t from = 0; from < hosts.size(); ++from) {
+                for (std::size_t to = 0; to < hosts.size(); ++to) {
+                    exchanges.emplace_back(from, to);
+                }
+            }
+        }
+        std::shuffle(exchanges.begin(), exchanges.end(), random);
+        exchanges.insert(exchanges.end(), exchanges.begin(), exchanges.end());
+        for (const auto &[from, to] : exchanges) {
+            hosts[to].merge(hosts[from].shares(now), now);
+        }
+        for (const auto &host : hosts) {
+            CHECK(host.digest() == hosts.front().digest());
+            CHECK(host.isBlocked(Parts{ Shared, Deadly }, Build)
+                  == hosts.front().isBlocked(Parts{ Shared, Deadly }, Build));
+            CHECK_FALSE(host.isBlocked(Parts{ Shared }, Build));
+        }
+    }
+}
+
+TEST_CASE("a caller that makes up parts does not exhaust the memory or displace a blocked one", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    state::Time now = crashes(suspects, 3, { Deadly }, Start);
+    std::uint64_t part = 1'000'000;
+    for (std::uint32_t target = 1000; target < 1040; ++target) {
+        now += seconds(1);
+        Parts parts(500);
+        std::generate(parts.begin(), parts.end(), [&part] {
+            return ++part;
+        });
+        crash(suspects, target, parts, now);
+    }
+    CHECK(suspects.suspectCount() <= 4096);
+    CHECK(suspects.isBlocked(Parts{ Deadly }, Build));
+    CHECK(suspects.shares(now).size() <= 64);
+}
+
+TEST_CASE("evidence against blocked parts is stored once and blocks them after a restart", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    CHECK_FALSE(suspects.evidenceToStore(Start));
+    const state::Time last = crashes(suspects, 3, { Deadly }, Start);
+    const auto stored = suspects.evidenceToStore(last);
+    REQUIRE(stored);
+    suspects.evidenceStored(suspects.blockedDigest());
+    CHECK_FALSE(suspects.evidenceToStore(last));
+    CrashSuspects restarted(2);
+    restarted.merge(*stored, last + seconds(20));
+    CHECK(restarted.isBlocked(Parts{ Deadly }, Build));
+    suspects.answered(Build, Parts{ Deadly }, last + seconds(40));
+    REQUIRE(suspects.evidenceToStore(last + seconds(40)));
+    CHECK(suspects.evidenceToStore(last + seconds(40))->empty());
+}
--- /dev/null
+++ b/tests/coordination/entry/testfleetcrashes.cpp
@@ -0,0 +1,227 @@
+#include "tests/coordination/entry/simulatedfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace sapphirecove;
+using namespace sapphirecove::tests::entry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/** Terms of the users' rule BUDGET. */
+constexpr std::size_t CrashesToLearn = 5;
+constexpr std::size_t AllowedAfter = 3;
+constexpr state::Duration ContactTime = seconds(4);
+
+/** Time after which all hosts know the decider. */
+constexpr state::Duration Settling = seconds(2);
+
+constexpr std::uint64_t Deadly = 0xdead;
+constexpr std::uint64_t Shared = 0x5a;
+
+/** Fleet that gets sound requests and requests with a deadly part; all have the same first part. */
+class CrashScenario
+{
+public:
+    explicit CrashScenario(const SimulatedFleet::Options &options)
+        : m_options(options)
+        , m_fleet(options)
+        , m_random(options.seed * 7919 + 1)
+    {
+        m_fleet.setDeadlyParts({ Deadly });
+        m_fleet.runUntil(Start + Settling);
+    }
+
+    SimulatedFleet &fleet()
+    {
+        return m_fleet;
+    }
+
+    /** Lets @p soundPerSecond and one deadly request in @p deadlyEvery of them arrive at random hosts. */
+    void load(state::Duration duration, int soundPerSecond, int deadlyEvery)
+    {
+        const state::Time end = m_fleet.now() + duration;
+        std::uniform_int_distribution<int> host(0, m_options.hosts - 1);
+        std::uniform_int_distribution<std::uint64_t> part(1, 20);
+        for (int i = 0; m_fleet.now() < end; ++i) {
+            submit(host(m_random), { Shared, part(m_random) }, milliseconds(600));
+            if (deadlyEvery > 0 && i % deadlyEvery == 0) {
+                submit(host(m_random), { Shared, Deadly }, milliseconds(600));
+            }
+            m_fleet.runUntil(m_fleet.now() + state::Duration(seconds(1)) / soundPerSecond);
+        }
+    }
+
+    std::uint64_t submit(int host, std::vector<std::uint64_t> parts, state::Duration work)
+    {
+        ScheduledRequest request = makeRequest(0, 1, 600, m_fleet.now());
+        request.latencyTarget = seconds(1);
+        request.deadline = m_fleet.now() + seconds(10);
+        request.parts = std::move(parts);
+        const bool isDeadly = request.parts.back() == Deadly;
+        const std::uint64_t id = m_fleet.submit(host, std::move(request), work);
+        (isDeadly ? m_deadly : m_sound).push_back(id);
+        return id;
+    }
+
+    /** Requests that reached targets later than the rule allows for the first ones. */
+    std::size_t lateArrivals() const
+    {
+        const auto &crashes = m_fleet.deadlyCrashes();
+        if (crashes.size() < CrashesToLearn) {
+            return 0;
+        }
+        const state::Time learned = crashes[CrashesToLearn - 1] + ContactTime;
+        const auto &arrivals = m_fleet.deadlyArrivals();
+        return static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [learned](state::Time at) {
+            return at > learned;
+        }));
+    }
+
+    /** Sound requests that were refused because of their parts. */
+    std::size_t wronglyRefused() const
+    {
+        return refusedOf(m_sound);
+    }
+
+    std::size_t deadlyRefused() const
+    {
+        return refusedOf(m_deadly);
+    }
+
+private:
+    std::size_t refusedOf(const std::vector<std::uint64_t> &ids) const
+    {
+        return static_cast<std::size_t>(std::count_if(ids.begin(), ids.end(), [this](std::uint64_t id) {
+            const auto found = m_fleet.decisions().find(id);
+            return found != m_fleet.decisions().end() && found->second.refusal == RefusalReason::CrashesTargets;
+        }));
+    }
+
+    SimulatedFleet::Options m_options;
+    SimulatedFleet m_fleet;
+    std::mt19937 m_random;
+    std::vector<std::uint64_t> m_sound;
+    std::vector<std::uint64_t> m_deadly;
+};
+
+} // namespace
+
+// Guards against BUDGET: the crashes are seen by different hosts, each once.
+TEST_CASE("a fleet stops sending a part that crashes targets, and nothing else", "[entry][fleet][crash]")
+{
+    const auto options = GENERATE(SimulatedFleet::Options{ 6, 9, 12, 0, 3, 0 },
+                                  SimulatedFleet::Options{ 6, 9, 12, 0.05, 4, 0 },
+                                  SimulatedFleet::Options{ 40, 20, 8, 0.01, 5, 0 });
+    CrashScenario scenario(options);
+    scenario.load(seconds(2), 60, 0);
+    scenario.load(seconds(12), 60, 20);
+    CHECK(scenario.fleet().deadlyCrashes().size() <= CrashesToLearn);
+    CHECK(scenario.lateArrivals() == 0);
+    CHECK(scenario.deadlyRefused() > 0);
+    CHECK(scenario.wronglyRefused() == 0);
+}
+
+// Guards against a verdict that only one host has: it dies, or each request is decided by another one.
+TEST_CASE("what a decider knows of deadly parts survives it", "[entry][fleet][crash]")
+{
+    CrashScenario scenario({ 6, 9, 12, 0, 3, 0 });
+    scenario.load(seconds(2), 60, 0);
+    std::size_t killed = 0;
+    while (killed < 3) {
+        const auto before = scenario.fleet().deadlyCrashes().size();
+        scenario.load(seconds(1), 60, 20);
+        const auto deciders = scenario.fleet().deciders();
+        if (scenario.fleet().deadlyCrashes().size() > before || killed > 0) {
+            REQUIRE_FALSE(deciders.empty());
+            scenario.fleet().restart(deciders.front());
+            ++killed;
+        }
+        scenario.load(milliseconds(500), 60, 0);
+    }
+    scenario.load(seconds(10), 60, 20);
+    CHECK(scenario.lateArrivals() <= AllowedAfter);
+    CHECK(scenario.fleet().deadlyCrashes().size() <= CrashesToLearn + AllowedAfter);
+    CHECK(scenario.wronglyRefused() == 0);
+}
+
+TEST_CASE("a host that was paused or cut off learns of a deadly part before it sends", "[entry][fleet][crash]")
+{
+    CrashScenario scenario({ 6, 9, 12, 0, 3, 0 });
+    scenario.load(seconds(2), 60, 0);
+    scenario.fleet().pause(5, false);
+    scenario.load(seconds(6), 60, 10);
+    const auto crashes = scenario.fleet().deadlyCrashes().size();
+    scenario.fleet().resume(5);
+    for (int i = 0; i < 20; ++i) {
+        scenario.submit(5, { Shared, Deadly }, milliseconds(600));
+        scenario.fleet().runUntil(scenario.fleet().now() + milliseconds(50));
+    }
+    scenario.load(seconds(2), 60, 0);
+    CHECK(scenario.fleet().deadlyCrashes().size() == crashes);
+    CHECK(scenario.wronglyRefused() == 0);
+}
+
+// Guards against blame at an ordinary failure: many targets end at once, or one after the other, at the busiest time.
+TEST_CASE("crashes of targets that no request causes block no part", "[entry][fleet][crash]")
+{
+    CrashScenario scenario({ 6, 12, 8, 0.01, 7, 0 });
+    scenario.load(seconds(3), 80, 0);
+    const bool atOnce = GENERATE(true, false);
+    for (int target = 0; target < 10; ++target) {
+        scenario.fleet().crash("t" + std::to_string(target));
+        if (!atOnce) {
+            scenario.load(milliseconds(700), 80, 0);
+        }
+    }
+    scenario.load(seconds(8), 80, 0);
+    CHECK(scenario.wronglyRefused() == 0);
+}
+
+TEST_CASE("requests that wait when their part is blocked are refused with a time to come back", "[entry][crash]")
+{
+    auto scheduler = makeScheduler();
+    scheduler->targets().listed(makeTarget("a", 1));
+    ScheduledRequest running = makeRequest(1, 1, 600);
+    scheduler->enqueue(running, Start);
+    REQUIRE(scheduler->decide(Start).size() == 1);
+    ScheduledRequest deadly = makeRequest(2, 1, 600);
+    deadly.parts = { Shared, Deadly };
+    ScheduledRequest sound = makeRequest(3, 1, 600);
+    sound.parts = { Shared, 1 };
+    CHECK_FALSE(scheduler->enqueue(deadly, Start));
+    CHECK_FALSE(scheduler->enqueue(sound, Start));
+    const std::uint32_t build = scheduler->targets().find("a")->build();
+    for (std::uint32_t target = 1; target <= 3; ++target) {
+        const state::Time at = Start + milliseconds(10 * target);
+        scheduler->suspects().crashed({ target, build, deadly.parts, at - milliseconds(5) }, at);
+    }
+    const state::Time now = Start + milliseconds(50);
+    const auto decisions = scheduler->decide(now);
+    REQUIRE(decisions.size() == 1);
+    CHECK(decisions.front().request == 2);
+    CHECK(decisions.front().refusal == RefusalReason::CrashesTargets);
+    CHECK(decisions.front().retryAfter > seconds(20));
+    deadly.id = 4;
+    REQUIRE(scheduler->enqueue(deadly, now));
+    CHECK(scheduler->waiting() == 1);
+}
+
+TEST_CASE("a stream that began long before its target crashed accuses no part", "[entry][crash]")
+{
+    auto scheduler = makeScheduler();
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        const std::string target = "t" + std::to_string(id);
+        scheduler->targets().listed(makeTarget(target, 1));
+        ScheduledRequest request = makeRequest(id, 1, 600, Start + seconds(10 * id));
+        request.parts = { Shared };
+        CHECK_FALSE(scheduler->enqueue(request, request.arrived));
+        REQUIRE(scheduler->decide(request.arrived).size() == 1);
+        scheduler->firstEvent(id, request.arrived + milliseconds(100));
+        scheduler->finished(id, AttemptOutcome::Crashed, 20, request.arrived + milliseconds(900));
+    }
+    CHECK(scheduler->suspects().suspectCount() == 0);
+}
--- a/tests/protocol/testdecidercodec.cpp
+++ b/tests/protocol/testdecidercodec.cpp
@@ -51,6 +51,7 @@
     request.promptTokens = 54600;
     request.expectedOutputTokens = 80;
     request.excludedTargets = { "i-1", "i-2" };
+    request.parts = { 0x0123456789abcdefULL, 2 };
     return decisionRequest;
 }
 
@@ -72,6 +73,7 @@
     CHECK(received.request.deadline == Received + milliseconds(900));
     CHECK(received.request.expectedOutputTokens == 80);
     CHECK(received.request.excludedTargets == sent.request.excludedTargets);
+    CHECK(received.request.parts == sent.request.parts);
 }
 
 // Guards against fields that are lost or swapped between encoder and decoder.
@@ -123,6 +125,8 @@
     reportReply.quotas.push_back({ 1, 2.5, 3.5F });
     reportReply.limitsDigest = 98;
     reportReply.limits.push_back({ 7, 0.5F, 3, false, 1200 });
+    reportReply.suspectsDigest = 97;
+    reportReply.suspects.push_back({ 11, 5, 7, 8, 2, 1200, 300, { 12 } });
     const auto reportReplyMessage = decode(encodeDeciderMessage(reportReply, Deployment, Sent));
     REQUIRE(reportReplyMessage);
     CHECK(std::get<ReportReply>(*reportReplyMessage).confirmedAge == milliseconds(1234));
@@ -131,6 +135,8 @@
     CHECK(std::get<ReportReply>(*reportReplyMessage).limits.at(0).requestsPerSecond == 0.5F);
     CHECK(std::get<ReportReply>(*reportReplyMessage).limits.at(0).ageMs == 1200);
     CHECK(std::get<ReportReply>(*reportReplyMessage).limitsDigest == 98);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).suspectsDigest == 97);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).suspects == reportReply.suspects);
 }
 
 // Guards against truncated or damaged datagrams that make the decoder read out of bounds.
