Log the era of the metadata store

Change: responses of the store carry its era to the follower, which logs it when it changes, with the offsets of the topic. No logic changed.

--- a/src/transport/entry/metadatastore.h
+++ b/src/transport/entry/metadatastore.h
@@ -37,6 +37,8 @@
     bool historyLost = false; /**< records after the requested offset were deleted: read the newest of each key */
     std::vector<StoreRecord> records; /**< in the order in which they were written */
     std::uint64_t next = 0; /**< offset after the last record */
+    std::optional<std::uint64_t>
+        era; /**< counts how often the store came back from an older copy; none if not stated */
 };
 
 /** Result of an append. */
@@ -50,6 +52,7 @@
     };
     Outcome outcome = Outcome::Unknown;
     std::optional<state::Failure> failure;
+    std::optional<std::uint64_t> era; /**< see StorePage::era */
 };
 
 /** Client of the deployment's metadata store. Calls on one topic must not overlap. */
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -552,6 +552,17 @@
 {
     const std::string name(nameOf(topic));
     m_context.metrics.count("store_calls_total");
+    if (page.era && page.era != topicState.era) {
+        logEvent("store_era",
+                 { { "topic", name },
+                   { "era", std::to_string(*page.era) },
+                   { "before", topicState.era ? std::to_string(*topicState.era) : "none" },
+                   { "read_from", topicState.next ? std::to_string(*topicState.next) : "newest" },
+                   { "next", std::to_string(page.next) },
+                   { "records", std::to_string(page.records.size()) },
+                   { "history_lost", page.historyLost ? "yes" : "no" } });
+        topicState.era = page.era;
+    }
     if (page.failure) {
         if (!topicState.unavailable) {
             logFailure("store_lost", { page.failure->step, page.failure->peer, name + ": " + page.failure->detail });
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -40,6 +40,7 @@
     struct TopicState
     {
         std::optional<std::uint64_t> next; /**< offset to read from; none until the newest records were read */
+        std::optional<std::uint64_t> era; /**< of the store, as its last response on the topic stated it */
         bool unavailable = false; /**< the last call failed */
         state::Time recoveredAt{}; /**< when a call succeeded again after a failure */
         state::Duration retryDelay{}; /**< before the next call after a failure */
--- a/src/transport/httpclient.cpp
+++ b/src/transport/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "transport/httpclient.h"
 
+#include "transport/beaststring.h"
+
 #include "transport/sockets.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -77,7 +79,14 @@
     if (!parser.get().keep_alive()) {
         close();
     }
-    co_return HttpOutcome{ std::nullopt, static_cast<int>(parser.get().result_int()), std::move(parser.get().body()) };
+    HttpOutcome outcome;
+    outcome.status = static_cast<int>(parser.get().result_int());
+    const auto field = call.responseField.empty() ? parser.get().end() : parser.get().find(toBeast(call.responseField));
+    if (field != parser.get().end()) {
+        outcome.field = std::string(toView(field->value()));
+    }
+    outcome.body = std::move(parser.get().body());
+    co_return outcome;
 }
 
 asio::awaitable<boost::system::error_code> HttpClient::ensureConnected()
@@ -103,7 +112,7 @@
 HttpOutcome HttpClient::closeAndFail(const char *step, const boost::system::error_code &error)
 {
     close();
-    return HttpOutcome{ state::Failure{ step, toString(m_endpoint), error.message() }, 0, {} };
+    return HttpOutcome{ state::Failure{ step, toString(m_endpoint), error.message() }, 0, {}, {} };
 }
 
 } // namespace sapphirecove::transport
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -24,6 +24,7 @@
     std::string path;
     std::string body;
     std::string bearerKey; /**< empty for none */
+    std::string responseField; /**< field of the response's header that the caller needs; empty for none */
 };
 
 /**
@@ -35,6 +36,7 @@
     std::optional<state::Failure> failure;
     int status = 0;
     std::string body;
+    std::optional<std::string> field; /**< value of HttpCall::responseField */
 
     /** Returns whether a response with a 2xx status was received. */
     bool ok() const
