Bind offsets of the store to its era

Cause: a host reads each topic on from an offset that it remembers. After a restore the same offsets stand for other records. If the topic has grown past the offset by then, what is before it is never read, and the host counts its configuration and its targets as confirmed. Only a 410, which comes while the topic is still shorter, had told hosts of a restore. Class: a position is kept without the name of the sequence that it is a position in. Ruled out: taking 410 or a smaller end offset as the sign of a restore; both are missing once the topic has grown again. Change: each topic's offset has an era. A page of another era is not used; the newest records are read instead. Why this works: the era is in every response, so that the first one after a restore tells, whatever the offsets are.

--- a/src/protocol/operatorstatecodec.cpp
+++ b/src/protocol/operatorstatecodec.cpp
@@ -12,6 +12,9 @@
     }
     json::object object;
     object.emplace("next", state.next);
+    if (state.era) {
+        object.emplace("era", *state.era);
+    }
     object.emplace("records", std::move(records));
     return json::serialize(object);
 }
@@ -30,6 +33,12 @@
     }
     OperatorState state;
     state.next = static_cast<std::uint64_t>(next->get_int64());
+    if (const json::value *era = object->if_contains("era")) {
+        if (!era->is_int64() || era->get_int64() < 0) {
+            return state::fail(step, peer, "the era is not a number");
+        }
+        state.era = static_cast<std::uint64_t>(era->get_int64());
+    }
     for (const auto &member : records->get_object()) {
         const json::string *record = member.value().if_string();
         if (record == nullptr) {
--- a/src/protocol/operatorstatecodec.h
+++ b/src/protocol/operatorstatecodec.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,7 @@
 struct OperatorState
 {
     std::uint64_t next = 0; /**< offset after the last record of the topic */
+    std::optional<std::uint64_t> era; /**< of the store to which the offset belongs; none if it states none */
     std::map<std::string, std::string> records; /**< documents by key */
 };
 
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -202,7 +202,7 @@
     if (!m_context.table || m_context.table->version() <= before) {
         co_return false;
     }
-    m_operatorTopic.next = std::max(m_operatorTopic.next.value_or(0), fetched->state.next);
+    adoptOffset(fetched->state);
     m_context.configurationConfirmed = std::max(m_context.configurationConfirmed, asked - fetched->age);
     co_return true;
 }
@@ -214,7 +214,7 @@
         return std::nullopt;
     }
     if (m_encodedRecords.empty()) {
-        m_encodedRecords = OperatorRelay::compress({ *m_operatorTopic.next, m_operatorRecords });
+        m_encodedRecords = OperatorRelay::compress({ *m_operatorTopic.next, m_operatorTopic.era, m_operatorRecords });
     }
     return OperatorRelay::EncodedState{ m_context.now() - m_context.configurationConfirmed, m_encodedRecords };
 }
@@ -473,7 +473,7 @@
 }
 
 /** Applies the published outcomes; returns the end of their topic, or nothing if it could not be read. */
-asio::awaitable<std::optional<std::uint64_t>> StoreFollower::readRolloutStatus()
+asio::awaitable<std::optional<StoreFollower::TopicEnd>> StoreFollower::readRolloutStatus()
 {
     const StorePage page = co_await m_store.readNewest(StoreTopic::RolloutStatus, CallTimeout);
     if (page.failure) {
@@ -495,7 +495,7 @@
                 logFailure("rollout_status_rejected", failure);
             });
     }
-    co_return page.next;
+    co_return TopicEnd{ page.next, page.era };
 }
 
 /**
@@ -519,9 +519,10 @@
     const StoreAppendResult stored = co_await m_store.append(StoreTopic::RolloutStatus,
                                                              m_context.codec.rolloutKey(status.service),
                                                              m_context.codec.encodeRolloutStatus(status),
-                                                             *end,
+                                                             end->offset,
                                                              CallTimeout);
-    const bool published = stored.outcome == StoreAppendResult::Outcome::Stored;
+    // In another era, the same offset may follow other records.
+    const bool published = stored.outcome == StoreAppendResult::Outcome::Stored && stored.era == end->era;
     logEvent("rollout_published",
              { { "service", status.service },
                { "version", status.targetVersion },
@@ -544,25 +545,77 @@
             topicState.newestTimeout = state::Duration::zero();
         }
     }
+    applyEra(topic, topicState, page);
     recordReadResult(topic, topicState, page);
     co_return page;
 }
 
+/**
+ * Checks the era of @p page. If the offset from which the topic was read belongs to another era, its records are none
+ * of those that follow the ones read before, and the newest record of each key has to be read.
+ */
+void StoreFollower::applyEra(StoreTopic topic, TopicState &topicState, StorePage &page)
+{
+    if (!page.era) {
+        return; // No response, or a store that states no era.
+    }
+    if (m_era.current() && *page.era < *m_era.current()) {
+        m_context.metrics.count("store_responses_outdated_total");
+        page = {};
+        page.failure = state::Failure{ "store.era", std::string(nameOf(topic)), "response from before a restore" };
+        return;
+    }
+    observeEra(page.era);
+    if (topicState.era == page.era) {
+        return;
+    }
+    const bool readOn = topicState.next.has_value();
+    logEvent("store_era",
+             { { "topic", std::string(nameOf(topic)) },
+               { "era", std::to_string(*page.era) },
+               { "before", topicState.era ? std::to_string(*topicState.era) : "none" },
+               { "read_from", readOn ? std::to_string(*topicState.next) : "newest" },
+               { "next", std::to_string(page.next) },
+               { "records", std::to_string(page.records.size()) },
+               { "history_lost", page.historyLost ? "yes" : "no" } });
+    topicState.era = page.era;
+    if (!readOn) {
+        return;
+    }
+    topicState.next.reset();
+    page.records.clear();
+    page.historyLost = !page.failure;
+}
+
+/** Processes the era that the store or another host states. */
+void StoreFollower::observeEra(std::optional<std::uint64_t> era)
+{
+    const auto before = m_era.current();
+    if (m_era.observe(era) != coordination::entry::StoreEra::Change::Restored) {
+        return;
+    }
+    m_context.metrics.count("store_restores_total");
+    m_encodedRecords.clear(); // They name the offset in the earlier era.
+    logEvent("store_restored", { { "era", std::to_string(*era) }, { "before", std::to_string(*before) } });
+}
+
+/** Takes over the offset to read the operator's topic from that belongs to records of another host. */
+void StoreFollower::adoptOffset(const protocol::OperatorState &fetched)
+{
+    const bool isOutdated = m_operatorTopic.era && (!fetched.era || *fetched.era < *m_operatorTopic.era);
+    if (isOutdated) {
+        return;
+    }
+    const bool sameEra = fetched.era == m_operatorTopic.era;
+    m_operatorTopic.next = sameEra ? std::max(m_operatorTopic.next.value_or(0), fetched.next) : fetched.next;
+    m_operatorTopic.era = fetched.era;
+    observeEra(fetched.era);
+}
+
 void StoreFollower::recordReadResult(StoreTopic topic, TopicState &topicState, const StorePage &page)
 {
     const std::string name(nameOf(topic));
     m_context.metrics.count("store_calls_total");
-    if (page.era && page.era != topicState.era) {
-        logEvent("store_era",
-                 { { "topic", name },
-                   { "era", std::to_string(*page.era) },
-                   { "before", topicState.era ? std::to_string(*topicState.era) : "none" },
-                   { "read_from", topicState.next ? std::to_string(*topicState.next) : "newest" },
-                   { "next", std::to_string(page.next) },
-                   { "records", std::to_string(page.records.size()) },
-                   { "history_lost", page.historyLost ? "yes" : "no" } });
-        topicState.era = page.era;
-    }
     if (page.failure) {
         if (!topicState.unavailable) {
             logFailure("store_lost", { page.failure->step, page.failure->peer, name + ": " + page.failure->detail });
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/storeera.h"
 #include "state/time.h"
 #include "transport/entry/metadatastore.h"
 #include "transport/entry/operatorrelay.h"
@@ -40,13 +41,20 @@
     struct TopicState
     {
         std::optional<std::uint64_t> next; /**< offset to read from; none until the newest records were read */
-        std::optional<std::uint64_t> era; /**< of the store, as its last response on the topic stated it */
+        std::optional<std::uint64_t> era; /**< of the store, to which the offset belongs; none if it states none */
         bool unavailable = false; /**< the last call failed */
         state::Time recoveredAt{}; /**< when a call succeeded again after a failure */
         state::Duration retryDelay{}; /**< before the next call after a failure */
         state::Duration newestTimeout{}; /**< of the next call for the newest records; longer after each failure */
     };
 
+    /** End of a topic in one era. */
+    struct TopicEnd
+    {
+        std::uint64_t offset = 0;
+        std::optional<std::uint64_t> era;
+    };
+
     boost::asio::awaitable<void> followOperator();
     boost::asio::awaitable<void> followTargets();
     state::Time confirmationTime(const StorePage &page, state::Time sent, state::Duration wait) const;
@@ -63,10 +71,13 @@
     boost::asio::awaitable<void> persistQuotaUse();
     boost::asio::awaitable<void> persistBlockedParts();
     boost::asio::awaitable<void> runRollouts();
-    boost::asio::awaitable<std::optional<std::uint64_t>> readRolloutStatus();
+    boost::asio::awaitable<std::optional<TopicEnd>> readRolloutStatus();
     boost::asio::awaitable<bool> publishRolloutStatus(state::entry::RolloutStatus status);
     boost::asio::awaitable<StorePage> read(StoreTopic topic, TopicState &topicState, state::Duration wait);
     boost::asio::awaitable<void> sleepFor(state::Duration duration);
+    void applyEra(StoreTopic topic, TopicState &topicState, StorePage &page);
+    void observeEra(std::optional<std::uint64_t> era);
+    void adoptOffset(const protocol::OperatorState &fetched);
     void recordReadResult(StoreTopic topic, TopicState &topicState, const StorePage &page);
     void applyOperator(const std::vector<StoreRecord> &records);
     void applyConfiguration(const std::string &document);
@@ -81,6 +92,7 @@
     state::Time m_started{};
     bool m_hostsKnown = false; /**< a read of the list of hosts has succeeded or failed */
     state::Time m_blockedPartsRetryAt{}; /**< after a failure to store them */
+    coordination::entry::StoreEra m_era;
     TopicState m_operatorTopic;
     TopicState m_targetsTopic;
 };
--- a/tests/protocol/testdecidercodec.cpp
+++ b/tests/protocol/testdecidercodec.cpp
@@ -191,6 +191,7 @@
     }
     OperatorState state;
     state.next = 19;
+    state.era = 3;
     state.records = { { "config", "{\"a\":\"\\\"\"}" }, { "rollout/x", std::string(300000, 'x') } };
     const auto copy = state::handleFailure(
         [&]() -> state::Result<OperatorState> {
@@ -200,5 +201,6 @@
             return OperatorState();
         });
     CHECK(copy.next == 19);
+    CHECK(copy.era == 3);
     CHECK(copy.records == state.records);
 }
--- a/tests/transport/entry/teststorerestore.cpp
+++ b/tests/transport/entry/teststorerestore.cpp
@@ -1,3 +1,4 @@
+#include "coordination/entry/storeera.h"
 #include "platform/codec.h"
 #include "tests/transport/entry/restorablestore.h"
 #include "tests/transport/loopback.h"
@@ -181,6 +182,42 @@
     }
 }
 
+// A response that states no era, or one before the last restore, must not undo what is known.
+TEST_CASE("the era of the store only rises", "[entry][restore]")
+{
+    using coordination::entry::StoreEra;
+    StoreEra era;
+    CHECK(era.observe(std::nullopt) == StoreEra::Change::None);
+    CHECK(era.observe(3) == StoreEra::Change::None);
+    CHECK(era.observe(3) == StoreEra::Change::None);
+    CHECK(era.observe(std::nullopt) == StoreEra::Change::None);
+    CHECK(era.observe(5) == StoreEra::Change::Restored);
+    CHECK(era.observe(4) == StoreEra::Change::Outdated);
+    CHECK(era.observe(5) == StoreEra::Change::None);
+    CHECK(era.current() == 5);
+}
+
+TEST_CASE("a store that is restored twice is read from the beginning twice", "[entry][host][restore]")
+{
+    const auto target = namedTarget("t");
+    RestorableStore store;
+    store.write(Topic::Operator, "config", configuration(2, {}));
+    store.write(Topic::Targets, "i-1", targetDocument(target->port(), "ready"));
+    StoreHost host(store, "host-1", true);
+    REQUIRE(host.comesTo("/common/", " 200 "));
+    for (int version = 3; version < 7; version += 2) {
+        store.goAway();
+        store.restore({ { Topic::Operator, 0 } });
+        store.goAway();
+        std::this_thread::sleep_for(milliseconds(100));
+        store.restore({ { Topic::Operator, 0 } });
+        const std::string path = "/added-" + std::to_string(version) + '/';
+        store.write(Topic::Operator, "config", configuration(version, { path }));
+        store.write(Topic::Operator, "unknown", "1");
+        CHECK(host.comesTo(path, " 200 "));
+    }
+}
+
 // Guards against a store that never again has what the hosts wrote once.
 TEST_CASE("a host announces itself again in a restored store", "[entry][host][restore]")
 {
