Write again what a restored store has lost of the hosts' records

Without its record, a host that joined shortly before a restore is unknown to those that start later; quotas and blocked parts of a fleet that loses power then start from old values; an operator never sees the end of a rollout. Cause: the hosts write each of these records once and count it as stored for good. Class: a confirmation that has an end is kept without it. Change: when the era rises, the decider writes use of quotas, blocked parts (also that there are none) and the states of rollouts again, and every host that had announced itself in an earlier era does so again. Hosts that do not read the store hear of the era in the replies to their reports. Why this works: all of these are the newest record of a key, so that writing them twice changes nothing. Ruled out: fencing numbers and producers' sequences, which entry hosts do not use.

--- a/src/coordination/entry/crashsuspects.h
+++ b/src/coordination/entry/crashsuspects.h
@@ -100,6 +100,12 @@
         m_storedDigest = blockedDigest;
     }
 
+    /** Records that it is unknown what the store has. */
+    void storeAgain()
+    {
+        m_storedDigest.reset();
+    }
+
     /** Returns a number that identifies the evidence against blocked parts; 0 if there is none. */
     std::uint32_t blockedDigest() const
     {
@@ -210,7 +216,7 @@
     std::unordered_map<std::uint64_t, state::Time> m_trials; /**< last trial of blocked parts */
     std::uint32_t m_digest = 0;
     std::uint32_t m_blockedDigest = 0;
-    std::uint32_t m_storedDigest = 0;
+    std::optional<std::uint32_t> m_storedDigest = 0; /**< nothing if it is unknown what the store has */
     std::uint64_t m_blockings = 0;
     std::vector<Change> m_changes;
     bool m_urgent = false;
--- a/src/coordination/entry/decidermessages.h
+++ b/src/coordination/entry/decidermessages.h
@@ -79,6 +79,7 @@
     bool canDecide = false; /**< knows the targets and takes decision requests */
     bool qualified = false; /**< gets reports of most hosts that it knows, and its list of targets is current */
     std::uint64_t configuration = 0; /**< version; 0 before the first one */
+    std::uint64_t storeEra = 0; /**< newest era of the metadata store that the sender has heard of; 0 for none */
     state::Duration confirmedAge{}; /**< since the metadata store last certainly held that version as its newest */
     std::uint32_t liveHosts = 0; /**< hosts whose reports it gets, itself included */
     std::vector<QuotaShare> quotas; /**< use by all hosts */
--- a/src/coordination/entry/quotatable.h
+++ b/src/coordination/entry/quotatable.h
@@ -70,6 +70,12 @@
      */
     std::optional<std::vector<QuotaUse>> useToStore(state::Time now);
 
+    /** Makes useToStore() return the use again, as the store has lost it. */
+    void storeAgain()
+    {
+        m_stored.clear();
+    }
+
     /** Returns what this host has admitted, for the report to the peers. */
     std::vector<QuotaShare> shares(state::Time now);
 
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -222,6 +222,7 @@
     codec.flag(reportReply.canDecide);
     codec.flag(reportReply.qualified);
     codec.number(reportReply.configuration);
+    codec.number(reportReply.storeEra);
     visitDuration(codec, reportReply.confirmedAge);
     codec.number(reportReply.liveHosts);
     visitList(codec, reportReply.quotas, [&codec](auto &quota) {
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -126,6 +126,7 @@
     }
     coordination::entry::ReportReply reportReply = m_context.fleet.reportReplyFor(report, now);
     reportReply.configuration = m_context.table ? m_context.table->version() : 0;
+    reportReply.storeEra = m_context.storeEra;
     reportReply.confirmedAge = now - m_context.configurationConfirmed;
     send(reportReply, report.address, report.port);
 }
@@ -163,6 +164,7 @@
 {
     const std::uint64_t version = m_context.table ? m_context.table->version() : 0;
     m_context.announcedVersion = std::max(m_context.announcedVersion, reportReply.configuration);
+    m_context.storeEra = std::max(m_context.storeEra, reportReply.storeEra);
     if (!m_context.table || reportReply.configuration != version) {
         return;
     }
--- a/src/transport/entry/servingcontext.h
+++ b/src/transport/entry/servingcontext.h
@@ -33,6 +33,7 @@
     std::shared_ptr<const state::entry::RoutingTable> table; /**< configuration in force; null before the first one */
     state::Time configurationConfirmed{}; /**< last time at which this was known to be the store's newest */
     std::uint64_t announcedVersion = 0; /**< newest version of a configuration that another host has announced */
+    std::uint64_t storeEra = 0; /**< newest era of the metadata store that this host has heard of; 0 for none */
     bool targetsCurrent = false; /**< a read of the targets has succeeded or failed since they are needed */
     state::Time targetsConfirmed{}; /**< last time at which the known targets were up to date with the store */
     bool stopping = false;
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -62,6 +62,9 @@
 /** Interval of checks whether the list of hosts has to be read again, as is the case while no other host responds. */
 constexpr state::Duration HostListCheckInterval = std::chrono::seconds(3);
 
+/** Interval of checks whether this host has to announce itself again. */
+constexpr state::Duration AnnouncementCheckInterval = std::chrono::milliseconds(750);
+
 /** Interval of checks whether state of the decider is due to be stored; bounds what a failure of all hosts loses. */
 constexpr state::Duration DeciderStateCheckInterval = std::chrono::milliseconds(100);
 
@@ -279,6 +282,7 @@
         const StoreAppendResult announced =
             co_await m_store.append(StoreTopic::Hosts, settings.hostId, record, std::nullopt, CallTimeout);
         if (announced.outcome == StoreAppendResult::Outcome::Stored) {
+            m_announcedInEra = announced.era;
             co_return;
         }
         logFailure("host_not_announced", announced.failure.value_or(state::Failure()));
@@ -318,9 +322,15 @@
                 });
         }
         m_hostsKnown = true;
+        const state::Time read = m_context.now();
         do {
-            co_await sleepFor(HostListCheckInterval);
-        } while (m_context.fleet.directory().respondingHosts(m_context.now()) > 0);
+            co_await sleepFor(AnnouncementCheckInterval);
+            // The store may have lost what this host announced before a restore.
+            if (m_announcedInEra && m_context.storeEra > *m_announcedInEra) {
+                co_await announceHost();
+            }
+        } while (m_context.now() - read < HostListCheckInterval
+                 || m_context.fleet.directory().respondingHosts(m_context.now()) > 0);
     }
 }
 
@@ -444,6 +454,14 @@
         if (states.empty()) {
             continue;
         }
+        if (std::exchange(m_rolloutsUnconfirmed, false)) {
+            announced.clear();
+            for (const auto &status : states) {
+                if (status.state != state::entry::RolloutState::Running) {
+                    unpublished[status.service] = status.state;
+                }
+            }
+        }
         for (const auto &status : m_context.scheduler.evaluateRollouts(m_context.now())) {
             logEvent("rollout_judged",
                      { { "service", status.service },
@@ -591,11 +609,15 @@
 void StoreFollower::observeEra(std::optional<std::uint64_t> era)
 {
     const auto before = m_era.current();
+    m_context.storeEra = std::max(m_context.storeEra, era.value_or(0));
     if (m_era.observe(era) != coordination::entry::StoreEra::Change::Restored) {
         return;
     }
     m_context.metrics.count("store_restores_total");
     m_encodedRecords.clear(); // They name the offset in the earlier era.
+    m_context.scheduler.quotas().storeAgain();
+    m_context.scheduler.suspects().storeAgain();
+    m_rolloutsUnconfirmed = true;
     logEvent("store_restored", { { "era", std::to_string(*era) }, { "before", std::to_string(*before) } });
 }
 
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -93,6 +93,8 @@
     bool m_hostsKnown = false; /**< a read of the list of hosts has succeeded or failed */
     state::Time m_blockedPartsRetryAt{}; /**< after a failure to store them */
     coordination::entry::StoreEra m_era;
+    std::optional<std::uint64_t> m_announcedInEra; /**< era in which this host has announced itself */
+    bool m_rolloutsUnconfirmed = false; /**< the store may have lost the published states of rollouts */
     TopicState m_operatorTopic;
     TopicState m_targetsTopic;
 };
--- a/tests/coordination/entry/testcrashsuspects.cpp
+++ b/tests/coordination/entry/testcrashsuspects.cpp
@@ -321,3 +321,19 @@
     REQUIRE(suspects.evidenceToStore(last + seconds(40)));
     CHECK(suspects.evidenceToStore(last + seconds(40))->empty());
 }
+
+// Guards against a restored store that has lost a block, or has one that was taken back since.
+TEST_CASE("evidence is stored again after the store may have lost it", "[entry][crash][restore]")
+{
+    CrashSuspects suspects(1);
+    suspects.storeAgain();
+    REQUIRE(suspects.evidenceToStore(Start));
+    CHECK(suspects.evidenceToStore(Start)->empty());
+    suspects.evidenceStored(suspects.blockedDigest());
+    CHECK_FALSE(suspects.evidenceToStore(Start));
+    const state::Time last = crashes(suspects, 3, { Deadly }, Start);
+    suspects.evidenceStored(suspects.blockedDigest());
+    suspects.storeAgain();
+    REQUIRE(suspects.evidenceToStore(last));
+    CHECK(suspects.evidenceToStore(last)->size() == 3);
+}
