Do not serve a configuration that other hosts know to be outdated

Cause: versions only grew within a process, and a candidate decider took the store's newest configuration for the newest of all. A running host also passed the copy's older document on to hosts that start, with its own confirmation. Class: a source is trusted to be complete because it was so far. Ruled out: refusing all of an older copy; a fleet whose hosts all start at once has nothing else until the operator has written again. Change: reports name the sender's version, so that one host that knows the newest tells all. A host without a configuration takes none that is older than what others have, and fetches that from any of them; a candidate waits up to 1 s for their first answer. A configuration is confirmed only if it is not older than the announced one. Hosts pass on the document that they use. For 30 s after a restore, all configurations of a page are looked at, as they may be written again in another order. Why this works: the version is the operator's own order and lasts longer than the store's copy wherever one host is left.

--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -89,6 +89,7 @@
     std::int64_t reportSentAt = 0; /**< sender's clock in microseconds, echoed in the reply */
     float capacity = 0; /**< see KnownHost */
     bool stopping = false;
+    std::uint64_t configuration = 0; /**< version; 0 before the first one */
     std::vector<TargetShare> targets;
     std::vector<ActiveRequest> active;
     std::vector<QuotaShare> quotas;
--- a/src/coordination/entry/peertable.cpp
+++ b/src/coordination/entry/peertable.cpp
@@ -73,6 +73,14 @@
     }
 }
 
+const Peer *PeerTable::findWithConfiguration(std::uint64_t version) const
+{
+    const auto found = std::find_if(m_peers.begin(), m_peers.end(), [version](const auto &entry) {
+        return entry.second.live && entry.second.report.configuration >= version;
+    });
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
 std::size_t PeerTable::liveCount() const
 {
     std::size_t live = 0;
--- a/src/coordination/entry/peertable.h
+++ b/src/coordination/entry/peertable.h
@@ -57,6 +57,9 @@
     /** Counts the reported load again after the set of targets has changed. */
     void recount(TargetTable &targets);
 
+    /** Returns a live peer whose configuration has at least @p version; nullptr if there is none. */
+    const Peer *findWithConfiguration(std::uint64_t version) const;
+
     /** Returns how many live peers there are. */
     std::size_t liveCount() const;
 
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -20,7 +20,7 @@
 using coordination::entry::VersionShare;
 
 /** First four bytes of each report; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53435204;
+constexpr std::uint32_t Magic = 0x53435205;
 
 // Each visit function lists the fields of one struct in wire order, for both BinaryWriter and BinaryReader.
 
@@ -117,6 +117,7 @@
     codec.signedNumber(report.reportSentAt);
     codec.real(report.capacity);
     codec.flag(report.stopping);
+    codec.number(report.configuration);
 }
 
 } // namespace
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -120,6 +120,7 @@
     if (!scheduler.peers().receive(report, scheduler.targets(), now)) {
         return;
     }
+    m_context.announcedVersion = std::max(m_context.announcedVersion, report.configuration);
     m_context.fleet.received(report, now);
     if (!wasLive) {
         logEvent("peer_heard", { { "peer", report.host }, { "uptime_ms", std::to_string(report.uptimeMs) } });
@@ -193,6 +194,7 @@
             report.port = m_context.settings.peerPort;
             report.capacity = static_cast<float>(m_context.settings.capacity);
             report.stopping = m_context.stopping;
+            report.configuration = m_context.table ? m_context.table->version() : 0;
             report.incarnation = fleet.self().incarnation;
             report.reportSentAt = state::toMicroseconds(now);
             report.uptimeMs = static_cast<std::uint32_t>(
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -50,6 +50,9 @@
 /** Time after its start for which a host waits for its first configuration from another host. */
 constexpr state::Duration PeerConfigurationWait = std::chrono::milliseconds(2500);
 
+/** Time after its start for which a candidate decider waits for the first answer of another host. */
+constexpr state::Duration FirstAnswerWait = std::chrono::milliseconds(1000);
+
 /** Longest timeout of a call for the newest records: all hosts may read a large configuration over a region's link. */
 constexpr state::Duration MaxNewestTimeout = std::chrono::milliseconds(6400);
 
@@ -62,6 +65,9 @@
 /** Interval of checks whether the list of hosts has to be read again, as is the case while no other host responds. */
 constexpr state::Duration HostListCheckInterval = std::chrono::seconds(3);
 
+/** Time after a restore in which the operator's lost records may be written again. */
+constexpr state::Duration RewriteWindow = std::chrono::seconds(30);
+
 /** Interval of checks whether this host has to announce itself again. */
 constexpr state::Duration AnnouncementCheckInterval = std::chrono::milliseconds(750);
 
@@ -130,8 +136,9 @@
     co_await restoreQuotaUse();
     co_await restoreBlockedParts();
     for (;;) {
-        const bool newer = m_context.announcedVersion > (m_context.table ? m_context.table->version() : 0);
-        if (newer && !m_context.fleet.directory().isCandidate(m_context.now()) && co_await fetchFromPeer()) {
+        const bool newer = isOutdated(knownVersion());
+        const bool readsStore = m_context.fleet.directory().isCandidate(m_context.now());
+        if (newer && (!readsStore || m_storeOutdated || !m_context.table) && co_await fetchFromPeer()) {
             continue;
         }
         if (confirmedByPeers(m_context.now()) || awaitsPeerConfiguration(m_context.now())) {
@@ -140,6 +147,7 @@
         }
         // The first call after a failure does not wait, so that the configuration is confirmed at once.
         const state::Time sent = m_context.now();
+        const std::uint64_t announced = m_context.announcedVersion;
         const state::Duration usual =
             coordination::entry::confirmationWait(sent - m_context.configurationConfirmed, m_context.settings.bounds);
         const bool candidate = m_context.fleet.directory().isCandidate(sent);
@@ -155,12 +163,26 @@
             continue;
         }
         applyOperator(page.records);
+        // A store that came back from a copy may have an older configuration than the fleet.
+        m_storeOutdated = announced > knownVersion();
+        if (m_storeOutdated) {
+            logEvent("store_configuration_outdated",
+                     { { "version", std::to_string(knownVersion()) }, { "announced", std::to_string(announced) } });
+            co_await sleepFor(RoleCheckInterval);
+            continue;
+        }
         const state::Duration waited = waits ? wait : state::Duration::zero();
         m_context.configurationConfirmed =
             std::max(m_context.configurationConfirmed, confirmationTime(page, sent, waited));
     }
 }
 
+/** Returns the version of the configuration in force; 0 before the first one. */
+std::uint64_t StoreFollower::knownVersion() const
+{
+    return m_context.table ? m_context.table->version() : 0;
+}
+
 /**
  * Returns the time up to which @p page shows that nothing else was stored. It is the response to a call at @p sent that
  * could wait for @p wait.
@@ -186,14 +208,12 @@
 asio::awaitable<bool> StoreFollower::fetchFromPeer()
 {
     const state::Time asked = m_context.now();
-    const std::uint64_t before = m_context.table ? m_context.table->version() : 0;
-    const auto *configurationSource =
-        m_context.fleet.directory().configurationSource(m_context.announcedVersion, asked);
-    if (configurationSource == nullptr) {
+    const std::uint64_t before = knownVersion();
+    const auto source = newerConfigurationSource(asked);
+    if (!source) {
         co_return false;
     }
-    const protocol::Endpoint endpoint{ configurationSource->address, configurationSource->port };
-    const auto fetched = co_await m_relay->fetch(endpoint);
+    const auto fetched = co_await m_relay->fetch(*source);
     if (!fetched) {
         co_return false;
     }
@@ -210,6 +230,19 @@
     co_return true;
 }
 
+/** Returns the address of a host that has the announced configuration: a candidate decider, or any that reports it. */
+std::optional<protocol::Endpoint> StoreFollower::newerConfigurationSource(state::Time now) const
+{
+    const std::uint64_t version = m_context.announcedVersion;
+    if (const auto *candidate = m_context.fleet.directory().configurationSource(version, now)) {
+        return protocol::Endpoint{ candidate->address, candidate->port };
+    }
+    if (const auto *peer = m_context.scheduler.peers().findWithConfiguration(version)) {
+        return protocol::Endpoint{ peer->report.address, peer->report.port };
+    }
+    return std::nullopt;
+}
+
 /** Returns the state that this host can provide to others; nothing before it knows the store's records. */
 std::optional<OperatorRelay::EncodedState> StoreFollower::stateForPeers()
 {
@@ -232,7 +265,13 @@
     if (m_context.table || m_context.settings.firstStart || now - m_started > PeerConfigurationWait) {
         return false;
     }
-    return !m_hostsKnown || !m_context.fleet.directory().isCandidate(now);
+    const auto &directory = m_context.fleet.directory();
+    if (!m_hostsKnown || !directory.isCandidate(now)) {
+        return true;
+    }
+    // The store's configuration may be older than that of the other hosts, whose answers tell.
+    const bool mayHear = directory.size() > 1 && now - m_started < FirstAnswerWait;
+    return mayHear && directory.respondingHosts(now) == 0;
 }
 
 /** Returns whether this host is the decider, which writes to the store for the fleet. */
@@ -618,6 +657,7 @@
     m_context.scheduler.quotas().storeAgain();
     m_context.scheduler.suspects().storeAgain();
     m_rolloutsUnconfirmed = true;
+    m_restoredAt = m_context.now();
     logEvent("store_restored", { { "era", std::to_string(*era) }, { "before", std::to_string(*before) } });
 }
 
@@ -670,19 +710,24 @@
 
 void StoreFollower::applyOperator(const std::vector<StoreRecord> &records)
 {
-    // Only the newest configuration of a page is decoded, because configurations may come in quick succession.
-    const std::string *configuration = nullptr;
+    // Only the newest configuration of a page is decoded, because configurations may come in quick succession. After a
+    // restore they may be written again in another order.
+    const bool inOrder = m_restoredAt == state::Time() || m_context.now() - m_restoredAt > RewriteWindow;
+    const StoreRecord *configuration = nullptr;
     for (const auto &record : records) {
-        if (record.value) {
-            m_operatorRecords[record.key] = *record.value;
-            m_encodedRecords.clear();
+        if (!record.value) {
+            continue;
         }
-        if (record.value && m_context.codec.classify(record.key) == OperatorRecord::Configuration) {
-            configuration = &*record.value;
+        if (m_context.codec.classify(record.key) != OperatorRecord::Configuration) {
+            provideToPeers(record);
+        } else if (inOrder) {
+            configuration = &record;
+        } else {
+            useConfiguration(record);
         }
     }
     if (configuration != nullptr) {
-        applyConfiguration(*configuration);
+        useConfiguration(*configuration);
     }
     for (const auto &record : records) {
         if (record.value && m_context.codec.classify(record.key) == OperatorRecord::RolloutOrder) {
@@ -691,14 +736,35 @@
     }
 }
 
-void StoreFollower::applyConfiguration(const std::string &document)
+/**
+ * Puts a configuration in force if it is newer. Other hosts must not get one that this host does not use, such as that
+ * of a restored store.
+ */
+void StoreFollower::useConfiguration(const StoreRecord &record)
 {
-    state::handleFailure(
-        [&]() -> state::Result<void> {
+    if (applyConfiguration(*record.value)) {
+        provideToPeers(record);
+    }
+}
+
+/** Makes @p record the one of its key that other hosts get from this one. */
+void StoreFollower::provideToPeers(const StoreRecord &record)
+{
+    m_operatorRecords[record.key] = *record.value;
+    m_encodedRecords.clear();
+}
+
+/** Puts the configuration in @p document in force; returns false if it is not newer than the one in force. */
+bool StoreFollower::applyConfiguration(const std::string &document)
+{
+    return state::handleFailure(
+        [&]() -> state::Result<bool> {
             BOOST_LEAF_AUTO(table, m_context.codec.decodeConfiguration(document));
-            const std::uint64_t before = m_context.table ? m_context.table->version() : 0;
-            if (m_context.table && table.version() <= before) {
-                return {};
+            const std::uint64_t before = knownVersion();
+            // A host without a configuration waits for the newest one, rather than serve one that was superseded.
+            const bool usable = m_context.table ? table.version() > before : !isOutdated(table.version());
+            if (!usable) {
+                return false;
             }
             const bool usageKnown = m_context.settings.firstStart || m_context.table;
             m_context.scheduler.quotas().configure(table, usageKnown, m_context.now());
@@ -708,10 +774,11 @@
                        { "routes", std::to_string(table.routes().size()) },
                        { "customers", std::to_string(table.customers().size()) } });
             m_context.table = std::make_shared<const state::entry::RoutingTable>(std::move(table));
-            return {};
+            return true;
         },
         [](const state::Failure &failure) {
             logFailure("configuration_rejected", failure);
+            return false;
         });
 }
 
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -61,7 +61,13 @@
     bool confirmedByPeers(state::Time now) const;
     boost::asio::awaitable<bool> fetchFromPeer();
     std::optional<OperatorRelay::EncodedState> stateForPeers();
+    std::optional<protocol::Endpoint> newerConfigurationSource(state::Time now) const;
     bool awaitsPeerConfiguration(state::Time now) const;
+    std::uint64_t knownVersion() const;
+    bool isOutdated(std::uint64_t version) const
+    {
+        return version < m_context.announcedVersion;
+    }
     boost::asio::awaitable<void> announceHost();
     boost::asio::awaitable<void> discoverHosts();
     bool isDecider() const;
@@ -80,7 +86,9 @@
     void adoptOffset(const protocol::OperatorState &fetched);
     void recordReadResult(StoreTopic topic, TopicState &topicState, const StorePage &page);
     void applyOperator(const std::vector<StoreRecord> &records);
-    void applyConfiguration(const std::string &document);
+    bool applyConfiguration(const std::string &document);
+    void useConfiguration(const StoreRecord &record);
+    void provideToPeers(const StoreRecord &record);
     void applyRollout(const std::string &document);
     void applyTargets(const StorePage &page, bool complete, const TopicState &topicState);
 
@@ -94,6 +102,8 @@
     state::Time m_blockedPartsRetryAt{}; /**< after a failure to store them */
     coordination::entry::StoreEra m_era;
     std::optional<std::uint64_t> m_announcedInEra; /**< era in which this host has announced itself */
+    state::Time m_restoredAt{}; /**< when this host learned of the last restore; zero if there was none */
+    bool m_storeOutdated = false; /**< the store's newest configuration is older than one that a host has */
     bool m_rolloutsUnconfirmed = false; /**< the store may have lost the published states of rollouts */
     TopicState m_operatorTopic;
     TopicState m_targetsTopic;
--- a/tests/protocol/testpeerreportcodec.cpp
+++ b/tests/protocol/testpeerreportcodec.cpp
@@ -36,6 +36,7 @@
     report.limits.push_back({ 7, 2.5F, 3, true, 1200 });
     report.sent.push_back({ 7, 8, 9 });
     report.suspectsDigest = 97;
+    report.configuration = 12;
     report.suspects.push_back({ 0x0123456789abcdefULL, 5, 7, 8, 2, 1200, 300, { 0xfedcba9876543210ULL, 1 } });
     report.suspects.push_back({ 11, 5, 0, 0, 0, 40, 0, {} });
     return report;
@@ -90,6 +91,7 @@
     CHECK(received->limits[0].ended);
     CHECK(received->limits[0].ageMs == 1200);
     CHECK(received->suspectsDigest == 97);
+    CHECK(received->configuration == 12);
     CHECK(received->suspects == sent.suspects);
     REQUIRE(received->sent.size() == 1);
     CHECK(received->sent[0].decider == 8);
--- a/tests/transport/entry/restorablestore.h
+++ b/tests/transport/entry/restorablestore.h
@@ -37,6 +37,13 @@
         m_away = true;
     }
 
+    /** Comes back without a loss. */
+    void returnWhole()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_away = false;
+    }
+
     /** Comes back with the first @p kept records of each topic that is named, and the others whole. */
     void restore(const std::map<Topic, std::size_t> &kept)
     {
--- a/tests/transport/entry/teststorerestore.cpp
+++ b/tests/transport/entry/teststorerestore.cpp
@@ -159,6 +159,26 @@
     CHECK(host.comesTo("/new/", " 200 "));
 }
 
+// The operator may write what was lost in another order.
+TEST_CASE("of configurations that are written again in one go the newest is in force", "[entry][host][restore]")
+{
+    const auto target = namedTarget("t");
+    RestorableStore store;
+    store.write(Topic::Operator, "config", configuration(2, {}));
+    store.write(Topic::Targets, "i-1", targetDocument(target->port(), "ready"));
+    StoreHost host(store, "host-1", true);
+    REQUIRE(host.comesTo("/common/", " 200 "));
+    store.goAway();
+    std::this_thread::sleep_for(milliseconds(200));
+    store.restore({ { Topic::Operator, 1 } });
+    std::this_thread::sleep_for(milliseconds(1500)); // Longer than any delay between two calls of the host.
+    store.goAway();
+    store.write(Topic::Operator, "config", configuration(9, { "/nine/" }));
+    store.write(Topic::Operator, "config", configuration(5, { "/five/" }));
+    store.returnWhole();
+    CHECK(host.comesTo("/nine/", " 200 "));
+}
+
 // Guards against DRAIN: the same with the targets' records.
 TEST_CASE("a target that drains before the old offset of a restored store gets nothing more", "[entry][host][restore]")
 {
