Do not use targets again that only a store's older copy lists

By reasoning: after a restore, a target that has said that it leaves is ready again in the copy, and one that has left is listed again; both would get requests, against DRAIN, until they or the store write again. Cause: an entry replaced the one before it, whatever it said. Change: a process that drains stays so. An entry of the copy whose incarnation was removed in the last minute is held back until a silent target's entry would have lapsed; whatever the target writes itself counts at once. Result: two tests, of which the first fails with `listed()` as it was; not brought about with processes.

--- a/src/coordination/entry/targettable.cpp
+++ b/src/coordination/entry/targettable.cpp
@@ -9,17 +9,27 @@
 /** Time after the store's return within which the deployment guarantees that entries expired with it are restored. */
 constexpr state::Duration ExpiredEntryGrace = std::chrono::milliseconds(2000);
 
+/** Time for which removed targets are remembered: longer than a store's copy is old. */
+constexpr state::Duration KeepRemoved = std::chrono::seconds(60);
+
+/** Time after which the store removes the entry of a target that is silent, with a margin: several heartbeats. */
+constexpr state::Duration SilentEntryLifetime = std::chrono::seconds(6);
+
 } // namespace
 
 void TargetTable::listed(const state::entry::TargetEntry &entry)
 {
+    m_heldBack.erase(entry.id);
     Item &item = m_targets[entry.id];
     item.dropAt.reset();
     const bool sameProcess = item.load && item.load->entry().startedUnixMs == entry.startedUnixMs
         && item.load->entry().address == entry.address && item.load->entry().port == entry.port
         && item.load->entry().service == entry.service;
     if (sameProcess) {
-        item.load->update(entry);
+        state::entry::TargetEntry updated = entry;
+        // A process that drains does not become ready again; only an older copy of its entry says so.
+        updated.draining = entry.draining || (entry.startedUnixMs != 0 && item.load->entry().draining);
+        item.load->update(std::move(updated));
         return;
     }
     item.misdirected = false;
@@ -27,8 +37,23 @@
     rebuildIndex();
 }
 
+void TargetTable::listedInCopy(const state::entry::TargetEntry &entry, state::Time now)
+{
+    const auto before = m_removed.find(entry.id);
+    const bool wasRemoved = before != m_removed.end() && before->second.startedUnixMs == entry.startedUnixMs
+        && !m_targets.contains(entry.id);
+    if (!wasRemoved) {
+        listed(entry);
+        return;
+    }
+    m_heldBack.insert_or_assign(entry.id, HeldBack{ entry, now + SilentEntryLifetime });
+}
+
 void TargetTable::removed(std::string_view id, bool storeWasUnavailable, state::Time now)
 {
+    if (const auto heldBack = m_heldBack.find(id); heldBack != m_heldBack.end()) {
+        m_heldBack.erase(heldBack);
+    }
     const auto found = m_targets.find(id);
     if (found == m_targets.end()) {
         return;
@@ -39,12 +64,16 @@
         }
         return;
     }
+    m_removed.insert_or_assign(found->first, Removed{ found->second.load->entry().startedUnixMs, now });
     m_targets.erase(found);
     rebuildIndex();
 }
 
 void TargetTable::retainOnly(const std::vector<std::string> &ids, bool storeWasUnavailable, state::Time now)
 {
+    std::erase_if(m_heldBack, [&ids](const auto &entry) {
+        return std::find(ids.begin(), ids.end(), entry.first) == ids.end();
+    });
     std::vector<std::string> missing;
     for (const auto &[id, item] : m_targets) {
         if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
@@ -65,13 +94,25 @@
 
 bool TargetTable::expire(state::Time now)
 {
-    const auto count = std::erase_if(m_targets, [now](const auto &entry) {
+    std::erase_if(m_removed, [now](const auto &entry) {
+        return now - entry.second.at > KeepRemoved;
+    });
+    std::vector<state::entry::TargetEntry> alive;
+    for (const auto &[id, heldBack] : m_heldBack) {
+        if (heldBack.until <= now) {
+            alive.push_back(heldBack.entry);
+        }
+    }
+    for (const auto &entry : alive) {
+        listed(entry);
+    }
+    const auto dropped = std::erase_if(m_targets, [now](const auto &entry) {
         return entry.second.dropAt && *entry.second.dropAt <= now;
     });
-    if (count > 0) {
+    if (dropped > 0) {
         rebuildIndex();
     }
-    return count > 0;
+    return dropped > 0 || !alive.empty();
 }
 
 TargetLoad *TargetTable::find(std::string_view id)
--- a/src/coordination/entry/targettable.h
+++ b/src/coordination/entry/targettable.h
@@ -26,6 +26,12 @@
     /** Adds or updates a target. An entry with a new start time is a new incarnation and replaces the old one. */
     void listed(const state::entry::TargetEntry &entry);
 
+    /**
+     * Adds or updates a target from the listing of a store that has come back from an older copy. The entry of a target
+     * that was removed shortly before is not used until it has stayed long enough that its target must be alive.
+     */
+    void listedInCopy(const state::entry::TargetEntry &entry, state::Time now);
+
     /**
      * Removes the entry of @p id, or marks it as expired; @p storeWasUnavailable tells whether the store has just
      * returned.
@@ -38,7 +44,7 @@
     /** Returns whether any expired entry is kept for its grace period; its target may have left. */
     bool hasLapsed() const;
 
-    /** Drops the entries whose grace period has passed; returns whether there were any. */
+    /** Drops the entries whose grace period has passed, and uses those held back; returns whether there were any. */
     bool expire(state::Time now);
 
     /** Returns the target with @p id; nullptr if there is none. */
@@ -72,8 +78,24 @@
         bool misdirected = false;
     };
 
+    /** Incarnation whose entry was removed. */
+    struct Removed
+    {
+        std::int64_t startedUnixMs = 0;
+        state::Time at{};
+    };
+
+    /** Entry of a copy that is not used yet. */
+    struct HeldBack
+    {
+        state::entry::TargetEntry entry;
+        state::Time until{};
+    };
+
     void rebuildIndex();
 
+    std::map<std::string, Removed, std::less<>> m_removed; /**< by id; of the last minute */
+    std::map<std::string, HeldBack, std::less<>> m_heldBack; /**< by id */
     std::map<std::string, Item, std::less<>> m_targets;
     std::unordered_map<std::uint32_t, TargetLoad *> m_byHash;
     std::map<std::string, std::vector<TargetLoad *>, std::less<>> m_byService;
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -826,7 +826,11 @@
                                { "version", entry.softwareVersion },
                                { "state", entry.draining ? "draining" : "ready" } });
                 }
-                targets.listed(entry);
+                if (complete && now - m_restoredAt < RewriteWindow && m_restoredAt != state::Time()) {
+                    targets.listedInCopy(entry, now);
+                } else {
+                    targets.listed(entry);
+                }
                 listed.push_back(entry.id);
                 return {};
             },
--- a/tests/coordination/entry/testdiscovery.cpp
+++ b/tests/coordination/entry/testdiscovery.cpp
@@ -56,6 +56,48 @@
     CHECK(table.accepts(*table.find("a")));
 }
 
+// Guards against DRAIN: the store comes back from a copy in which a target is ready that has said that it leaves.
+TEST_CASE("a process that drains is not ready again", "[entry][targettable][restore]")
+{
+    TargetTable table;
+    auto entry = makeTarget("a");
+    entry.draining = true;
+    table.listed(entry);
+    entry.draining = false;
+    table.listedInCopy(entry, Start);
+    CHECK_FALSE(table.accepts(*table.find("a")));
+    entry.startedUnixMs = 2000;
+    table.listed(entry);
+    CHECK(table.accepts(*table.find("a")));
+}
+
+// Guards against DRAIN: the same with a target that had left and whose entry is back with the copy.
+TEST_CASE("an entry that a restored store brings back is used once its target must be alive",
+          "[entry][targettable][restore]")
+{
+    TargetTable table;
+    table.listed(makeTarget("left"));
+    table.listed(makeTarget("lapsed"));
+    table.listed(makeTarget("stays"));
+    table.removed("left", false, Start);
+    table.removed("lapsed", false, Start);
+    const state::Time restored = Start + seconds(3);
+    for (const char *id : { "left", "lapsed", "stays", "new" }) {
+        table.listedInCopy(makeTarget(id), restored);
+    }
+    CHECK(table.find("left") == nullptr);
+    CHECK(table.find("lapsed") == nullptr);
+    CHECK(table.find("stays") != nullptr);
+    CHECK(table.find("new") != nullptr);
+    table.removed("left", false, restored + milliseconds(3600));
+    CHECK(table.expire(restored + seconds(6)));
+    CHECK(table.find("left") == nullptr);
+    CHECK(table.find("lapsed") != nullptr);
+    table.removed("stays", false, restored + seconds(7));
+    table.listed(makeTarget("stays")); // The target itself has written its entry again.
+    CHECK(table.find("stays") != nullptr);
+}
+
 // Guards against targets that stay listed because their removal was missed.
 TEST_CASE("a complete list removes the targets that it does not contain", "[entry][targettable]")
 {
