Ignore an order for a rollout that a later one has replaced if the store may be a copy

By reasoning: after a restore, the copy holds the order before the last one. Every host would take it for a new one, start that rollout again and publish it as running. Cause: an order counted as new whenever it differed from the last one. Result: a test, which the code before cannot pass (the order starts the rollout again); not brought about with processes.

--- a/src/coordination/entry/rolloutcontroller.cpp
+++ b/src/coordination/entry/rolloutcontroller.cpp
@@ -102,13 +102,21 @@
 {
 }
 
-void RolloutController::ordered(const state::entry::RolloutOrder &order, state::Time now)
+void RolloutController::ordered(const state::entry::RolloutOrder &order, state::Time now, bool mayBeOld)
 {
     const auto known = m_rollouts.find(order.service);
     if (known != m_rollouts.end() && known->second.order.targetVersion == order.targetVersion) {
         return;
     }
     Rollout rollout;
+    if (known != m_rollouts.end()) {
+        rollout.superseded = known->second.superseded;
+        if (mayBeOld && rollout.superseded.contains(order.targetVersion)) {
+            return;
+        }
+        rollout.superseded.insert(known->second.order.targetVersion);
+        rollout.superseded.erase(order.targetVersion);
+    }
     rollout.order = order;
     rollout.began = now;
     rollout.share = m_bounds.rolloutShare * UsedRolloutShare;
--- a/src/coordination/entry/rolloutcontroller.h
+++ b/src/coordination/entry/rolloutcontroller.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -38,8 +39,11 @@
 public:
     explicit RolloutController(const state::entry::Bounds &bounds);
 
-    /** Starts a rollout; the same order again changes nothing. */
-    void ordered(const state::entry::RolloutOrder &order, state::Time now);
+    /**
+     * Starts a rollout; the same order again changes nothing. If @p mayBeOld, as the store came back from an older
+     * copy, neither does an order that a later one has replaced.
+     */
+    void ordered(const state::entry::RolloutOrder &order, state::Time now, bool mayBeOld = false);
 
     /** Applies a published outcome, which is final. */
     void published(const state::entry::RolloutStatus &status);
@@ -89,6 +93,7 @@
         state::entry::RolloutOrder order;
         state::entry::RolloutState state = state::entry::RolloutState::Running;
         state::Time began{};
+        std::set<std::string> superseded; /**< target versions of earlier orders */
         double share = 0; /**< of the requests that may go to the new version */
         double goodAtStep = 0; /**< good responses when the share last grew */
         std::optional<state::Time> othersIdleSince;
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -644,6 +644,12 @@
     page.historyLost = !page.failure;
 }
 
+/** Returns whether the store came back from a copy so recently that it may not have been written to again. */
+bool StoreFollower::mayHoldOldRecords() const
+{
+    return m_restoredAt != state::Time() && m_context.now() - m_restoredAt < RewriteWindow;
+}
+
 /** Processes the era that the store or another host states. */
 void StoreFollower::observeEra(std::optional<std::uint64_t> era)
 {
@@ -712,7 +718,7 @@
 {
     // Only the newest configuration of a page is decoded, because configurations may come in quick succession. After a
     // restore they may be written again in another order.
-    const bool inOrder = m_restoredAt == state::Time() || m_context.now() - m_restoredAt > RewriteWindow;
+    const bool inOrder = !mayHoldOldRecords();
     const StoreRecord *configuration = nullptr;
     for (const auto &record : records) {
         if (!record.value) {
@@ -791,7 +797,7 @@
                      { { "service", order.service },
                        { "version", order.targetVersion },
                        { "duration_s", std::to_string(order.durationSeconds) } });
-            m_context.scheduler.rollouts().ordered(order, m_context.now());
+            m_context.scheduler.rollouts().ordered(order, m_context.now(), mayHoldOldRecords());
             return {};
         },
         [](const state::Failure &failure) {
@@ -826,7 +832,7 @@
                                { "version", entry.softwareVersion },
                                { "state", entry.draining ? "draining" : "ready" } });
                 }
-                if (complete && now - m_restoredAt < RewriteWindow && m_restoredAt != state::Time()) {
+                if (complete && mayHoldOldRecords()) {
                     targets.listedInCopy(entry, now);
                 } else {
                     targets.listed(entry);
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -82,6 +82,7 @@
     boost::asio::awaitable<StorePage> read(StoreTopic topic, TopicState &topicState, state::Duration wait);
     boost::asio::awaitable<void> sleepFor(state::Duration duration);
     void applyEra(StoreTopic topic, TopicState &topicState, StorePage &page);
+    bool mayHoldOldRecords() const;
     void observeEra(std::optional<std::uint64_t> era);
     void adoptOffset(const protocol::OperatorState &fetched);
     void recordReadResult(StoreTopic topic, TopicState &topicState, const StorePage &page);
--- a/tests/coordination/entry/testrolloutcontroller.cpp
+++ b/tests/coordination/entry/testrolloutcontroller.cpp
@@ -161,6 +161,22 @@
     CHECK(controller.mayUse("s", "v1", 1));
 }
 
+// Guards against a store's older copy, which holds the order before the last one.
+TEST_CASE("an order that was replaced does not come back with an older copy", "[entry][rollout][restore]")
+{
+    RolloutController controller{ state::entry::Bounds() };
+    controller.ordered({ "s", "v2", 10 }, Start);
+    controller.published({ "s", "v2", RolloutState::Done });
+    controller.ordered({ "s", "v3", 10 }, Start);
+    controller.published({ "s", "v3", RolloutState::Done });
+    controller.ordered({ "s", "v2", 10 }, Start, true);
+    CHECK(controller.mayUse("s", "v3", 1));
+    CHECK_FALSE(controller.mayUse("s", "v2", 1));
+    controller.ordered({ "s", "v2", 10 }, Start); // The operator orders it again.
+    CHECK(controller.states().front().targetVersion == "v2");
+    CHECK(controller.states().front().state == RolloutState::Running);
+}
+
 // Guards against a host that reopens a finished rollout or applies the outcome of another version.
 TEST_CASE("a published outcome is final for every host", "[entry][rollout]")
 {
