Bound the parts that one crash accuses

A request may name some 1,600 parts in its header, and each of them became a suspect; making room for them is quadratic and would hold up a small host. Change: a crash accuses the first 64 parts, as many as a message to the decider holds.

--- a/src/coordination/entry/crashsuspects.cpp
+++ b/src/coordination/entry/crashsuspects.cpp
@@ -39,6 +39,9 @@
 /** Most suspects that a host remembers; one crash adds some dozens. */
 constexpr std::size_t MaxSuspects = 4096;
 
+/** Most parts of one request that a crash accuses, so that long lists of made-up parts cost little. */
+constexpr std::size_t MaxPartsPerRequest = 64;
+
 /** Most crashes that are kept for one part; more change nothing. */
 constexpr std::size_t MaxCrashesPerPart = 16;
 
@@ -88,7 +91,8 @@
 
 void CrashSuspects::crashed(const BrokenRequest &request, state::Time now)
 {
-    const std::set<std::uint64_t> parts(request.parts.begin(), request.parts.end());
+    const auto considered = request.parts.first(std::min(request.parts.size(), MaxPartsPerRequest));
+    const std::set<std::uint64_t> parts(considered.begin(), considered.end());
     const state::Duration held = std::max(state::Duration::zero(), now - request.dispatched);
     for (const std::uint64_t part : parts) {
         std::vector<std::uint64_t> companions;
@@ -107,7 +111,7 @@
         }
     }
     makeRoom();
-    changed(request.parts);
+    changed(considered);
 }
 
 void CrashSuspects::answered(std::uint32_t build, std::span<const std::uint64_t> parts, state::Time now)
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -24,7 +24,7 @@
 /** Encodes an absent number; a number that is present is never negative. */
 constexpr double NoNumber = -1;
 
-/** Most parts of a prompt in a message; the requester checks those beyond. */
+/** Most parts of a prompt in a message, as many as a crash accuses; the requester checks those beyond. */
 constexpr std::size_t MaxParts = 64;
 
 /** Visits a number that is not negative or absent. All visit functions serve BinaryWriter and BinaryReader. */
