--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -36,8 +36,8 @@
 constexpr state::Duration MaxBlockedRetryAfter = std::chrono::minutes(2);
 
 /**
- * Time from the first event of a stream after which a crash is no longer put down to it: a deadly request crashes its
- * target when the answer begins.
+ * Time from the first event of a stream after which a crash is no longer put down to it: what crashes a target does so
+ * when the answer begins.
  */
 constexpr state::Duration AnswerBegun = std::chrono::milliseconds(500);
 
