Use one function for the ages in messages

Cause: reading the diff; crashsuspects.cpp had a copy of ageMs() of targetlimits.cpp. Change: the function stands in messageage.h, for both. No behaviour changed.

--- a/src/coordination/entry/crashsuspects.cpp
+++ b/src/coordination/entry/crashsuspects.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/crashsuspects.h"
 
+#include "coordination/entry/messageage.h"
 #include "coordination/entry/shorthash.h"
 
 #include <algorithm>
@@ -52,12 +53,6 @@
 constexpr std::size_t MaxSharedCrashes = 48;
 constexpr std::size_t MaxSharedAnswers = 16;
 
-std::uint32_t ageMs(state::Time since, state::Time now)
-{
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 /** Removes what @p other lacks from the sorted @p parts. */
 void keepCommon(std::vector<std::uint64_t> &parts, std::span<const std::uint64_t> other)
 {
--- a/src/coordination/entry/targetlimits.cpp
+++ b/src/coordination/entry/targetlimits.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/targetlimits.h"
 
+#include "coordination/entry/messageage.h"
 #include "coordination/entry/shorthash.h"
 
 #include <algorithm>
@@ -49,12 +50,6 @@
     return static_cast<double>(hash) / (static_cast<double>(std::numeric_limits<std::uint32_t>::max()) + 1);
 }
 
-std::uint32_t ageMs(state::Time since, state::Time now)
-{
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
 state::Duration keepFor(const TargetLimit &limit)
 {
     return limit.ended ? KeepEnded : KeepStated;
