Log each connection that ends with a request in hand

unanswered has the outcome of the last attempt and the time since its last event, caller_connection_closed what had arrived on a connection that a limit closes, caller_session_failed an exception. Three counters go with them. An exception in a session is caught, so that the connection ends like others. No other logic is changed; the transport tests of the entry host pass.

--- a/src/transport/entry/callersession.cpp
+++ b/src/transport/entry/callersession.cpp
@@ -1,5 +1,6 @@
 #include "transport/entry/callersession.h"
 
+#include "transport/entry/format.h"
 #include "transport/log.h"
 #include "transport/sockets.h"
 
@@ -10,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace sapphirecove::transport::entry {
@@ -28,6 +30,19 @@
 
 } // namespace
 
+std::string_view CallerSession::nameOf(ReadPhase phase)
+{
+    switch (phase) {
+    case ReadPhase::FirstByte:
+        return "first_byte";
+    case ReadPhase::Header:
+        return "header";
+    case ReadPhase::Body:
+        return "body";
+    }
+    return "unknown";
+}
+
 CallerSession::CallerSession(ServingContext &context, tcp::socket socket)
     : m_context(context)
     , m_socket(std::move(socket))
@@ -37,6 +52,19 @@
 asio::awaitable<void> CallerSession::run()
 {
     const auto self = shared_from_this();
+    try {
+        co_await serve();
+    } catch (const std::exception &exception) {
+        // Without this, the connection would end without a trace in the log.
+        m_context.metrics.count("caller_sessions_failed_total");
+        logEvent("caller_session_failed",
+                 { { "detail", exception.what() }, { "request_in_hand", idle() ? "no" : "yes" } });
+    }
+    co_await lingeringClose(m_socket);
+}
+
+asio::awaitable<void> CallerSession::serve()
+{
     bool open = true;
     while (open) {
         auto request = co_await readRequest();
@@ -48,7 +76,6 @@
         open = co_await m_exchange->run();
         m_exchange.reset();
     }
-    co_await lingeringClose(m_socket);
 }
 
 asio::awaitable<std::optional<Request>> CallerSession::readRequest()
@@ -58,18 +85,18 @@
     Parser parser;
     parser.header_limit(limits.maxHeaderBytes);
     parser.body_limit(limits.maxBodyBytes);
-    m_readDeadline = m_context.now() + limits.idleTimeout;
+    setReadDeadline(ReadPhase::FirstByte, limits.idleTimeout);
     boost::system::error_code error;
     if (m_buffer.size() == 0) {
         co_await m_socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     }
     if (!error) {
-        m_readDeadline = m_context.now() + limits.headerTimeout;
+        setReadDeadline(ReadPhase::Header, limits.headerTimeout);
         m_receiving = true;
         co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
     if (!error && !parser.is_done()) {
-        m_readDeadline = m_context.now() + BodyTimeout;
+        setReadDeadline(ReadPhase::Body, BodyTimeout);
         if (parser.get()[http::field::expect] == "100-continue") {
             http::response<http::empty_body> continueResponse(http::status::continue_, 11);
             co_await http::async_write(m_socket, continueResponse, asio::redirect_error(asio::use_awaitable, error));
@@ -140,6 +167,7 @@
 {
     if (m_readDeadline && now >= *m_readDeadline) {
         m_readDeadline.reset();
+        recordClose("timeout");
         close();
     }
     if (m_exchange) {
@@ -150,10 +178,40 @@
 void CallerSession::closeIfIdle()
 {
     if (idle()) {
+        recordClose("stopping");
         close();
     }
 }
 
+void CallerSession::setReadDeadline(ReadPhase phase, state::Duration timeout)
+{
+    m_readPhase = phase;
+    m_readPhaseSince = m_context.now();
+    m_readDeadline = m_readPhaseSince + timeout;
+}
+
+/** Counts the close of an open connection by this host, and logs it if a part of a request has arrived. */
+void CallerSession::recordClose(std::string_view cause)
+{
+    if (!m_socket.is_open()) {
+        return;
+    }
+    boost::system::error_code ignored;
+    const std::size_t unread = m_socket.available(ignored) + m_buffer.size();
+    m_context.metrics.count("caller_connections_closed_total");
+    if (unread == 0 && !m_receiving) {
+        return;
+    }
+    m_context.metrics.count("caller_connections_closed_with_request_total");
+    logEvent("caller_connection_closed",
+             { { "cause", std::string(cause) },
+               { "phase", std::string(nameOf(m_readPhase)) },
+               { "phase_ms", milliseconds(m_context.now() - m_readPhaseSince) },
+               { "unread_bytes", std::to_string(unread) },
+               { "configuration", m_context.table ? std::to_string(m_context.table->version()) : "none" },
+               { "configuration_age_ms", milliseconds(m_context.now() - m_context.configurationInForce) } });
+}
+
 void CallerSession::close()
 {
     boost::system::error_code ignored;
--- a/src/transport/entry/callersession.h
+++ b/src/transport/entry/callersession.h
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <optional>
+#include <string_view>
 
 namespace sapphirecove::transport::entry {
 
@@ -37,9 +38,16 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+    /** What the connection waits for while it reads. */
+    enum class ReadPhase { FirstByte, Header, Body };
+
+    static std::string_view nameOf(ReadPhase phase);
+    boost::asio::awaitable<void> serve();
     boost::asio::awaitable<std::optional<Request>> readRequest();
     boost::asio::awaitable<void> rejectRequest(const boost::system::error_code &error);
     void watchForDisconnect();
+    void setReadDeadline(ReadPhase phase, state::Duration timeout);
+    void recordClose(std::string_view cause);
     void close();
 
     ServingContext &m_context;
@@ -47,6 +55,8 @@
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Exchange> m_exchange;
     std::optional<state::Time> m_readDeadline;
+    ReadPhase m_readPhase = ReadPhase::FirstByte;
+    state::Time m_readPhaseSince{};
     bool m_receiving = false; /**< a request has begun to arrive */
     bool m_watching = false; /**< watchForDisconnect() waits for readable bytes */
 };
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -77,7 +77,7 @@
     : m_settings(settings)
     , m_scheduler(std::move(scheduler))
     , m_fleet(*m_scheduler, std::move(process), settings.region, *this)
-    , m_context{ m_io, clock, codec, m_settings, *m_scheduler, m_fleet, {}, {}, {},
+    , m_context{ m_io, clock, codec, m_settings, *m_scheduler, m_fleet, {}, {}, {}, {},
                  {},   0,     0,     false,      {},           false,   {}, {}, 0 }
     , m_tick(m_io)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -115,8 +115,12 @@
     std::size_t unreachable = 0;
     for (;;) {
         if (auto refusal = co_await waitForTarget()) {
-            if (m_streamStarted || m_state == State::CallerDisconnected) {
-                logResponse(0, m_streamStarted ? "stream_not_resumed" : "caller_left");
+            if (m_state == State::CallerDisconnected) {
+                logResponse(0, "caller_left");
+                co_return false;
+            }
+            if (m_streamStarted) {
+                recordUnanswered("stream_not_resumed");
                 co_return false;
             }
             co_return co_await writeResponse(targetErrorResponse ? std::move(*targetErrorResponse)
@@ -124,6 +128,7 @@
         }
         AttemptResult result = co_await runAttempt();
         m_mayHaveRun = m_mayHaveRun || result.mayHaveRun;
+        m_lastOutcome = result.outcome;
         if (m_state == State::CallerDisconnected) {
             logResponse(0, "caller_left");
             co_return false;
@@ -141,7 +146,7 @@
             continue;
         }
         if (m_streamStarted) {
-            logResponse(0, "stream_broken");
+            recordUnanswered("stream_broken");
             co_return false;
         }
         if (!result.response && targetErrorResponse && m_state == State::Open) {
@@ -513,6 +518,22 @@
     return m_request.keep_alive() && !m_context.stopping;
 }
 
+/** Logs that the caller's connection ends without a complete answer although the caller has not left. */
+void Exchange::recordUnanswered(std::string_view reason)
+{
+    const state::Time now = m_context.now();
+    logResponse(0, reason);
+    m_context.metrics.count("requests_unanswered_total");
+    logEvent("unanswered",
+             { { "request", m_admitted.fields.attemptId },
+               { "reason", std::string(reason) },
+               { "last_outcome", std::string(nameOf(m_lastOutcome)) },
+               { "timed_out", m_state == State::TimedOut ? "yes" : "no" },
+               { "silent_ms", m_firstEventAt ? milliseconds(now - m_lastEventAt) : "none" },
+               { "time_left_ms", milliseconds(m_admitted.deadline - now) },
+               { "configuration_age_ms", milliseconds(now - m_context.configurationInForce) } });
+}
+
 void Exchange::logResponse(int status, std::string_view reason)
 {
     const state::Time now = m_context.now();
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -57,6 +57,7 @@
     AttemptTarget attemptTarget(const state::entry::TargetEntry &entry) const;
     InactivityTimeouts inactivityTimeouts() const;
     void logResponse(int status, std::string_view reason);
+    void recordUnanswered(std::string_view reason);
     bool repeatable() const
     {
         return m_admitted.route->repeatable();
@@ -81,6 +82,7 @@
     bool m_mayHaveRun = false;
     bool m_streamStarted = false;
     bool m_writing = false; /**< a write to the caller is in progress */
+    coordination::entry::AttemptOutcome m_lastOutcome = coordination::entry::AttemptOutcome::Abandoned;
     State m_state = State::Open;
 };
 
--- a/src/transport/entry/servingcontext.h
+++ b/src/transport/entry/servingcontext.h
@@ -31,6 +31,7 @@
     TargetConnectionPool pool;
     EntryMetrics metrics;
     std::shared_ptr<const state::entry::RoutingTable> table; /**< configuration in force; null before the first one */
+    state::Time configurationInForce{}; /**< when this host began to use it */
     state::Time configurationConfirmed{}; /**< last time at which this was known to be the store's newest */
     std::uint64_t announcedVersion = 0; /**< newest version of a configuration that another host has announced */
     std::uint64_t storeEra = 0; /**< newest era of the metadata store that this host has heard of; 0 for none */
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -780,6 +780,7 @@
                        { "routes", std::to_string(table.routes().size()) },
                        { "customers", std::to_string(table.customers().size()) } });
             m_context.table = std::make_shared<const state::entry::RoutingTable>(std::move(table));
+            m_context.configurationInForce = m_context.now();
             return true;
         },
         [](const state::Failure &failure) {
