--- a/tests/transport/entry/entryfixture.h
+++ b/tests/transport/entry/entryfixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "platform/codec.h"
+#include "tests/transport/entry/shiftedclock.h"
 #include "tests/transport/loopback.h"
 #include "transport/entry/entryhost.h"
 
@@ -37,25 +38,6 @@
                override);
 };
 
-/** Clock that a test can move ahead. */
-class ShiftedClock final : public transport::TimeSource
-{
-public:
-    state::Time now() const override
-    {
-        return m_clock.now() + m_shift.load();
-    }
-
-    void advance(state::Duration duration)
-    {
-        m_shift = m_shift.load() + duration;
-    }
-
-private:
-    transport::SystemClock m_clock;
-    std::atomic<state::Duration> m_shift{ state::Duration::zero() };
-};
-
 /** Path prefixes of the routes in the test configuration. */
 constexpr std::string_view StreamPath = "/stream/";
 constexpr std::string_view NonResumableStreamPath = "/one-run-stream/";
