Keep a silent target until another one can take over

Callers saw a stream cut in its middle: neither an answer nor a refusal (LOST). A target that sent no event for four pause targets, 1.2 s, was given up before there was another one. If none had room, the retry budget was used up, the other one refused connections or the route allowed no more, the connection to the caller was closed. A sound target may be silent for a second or so and go on.

Ruled out: the target breaking off, which the logs show as another outcome.

TargetHandover now obtains a placement and connects while the attempt goes on; only then the attempt ends.

--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -42,12 +42,13 @@
 constexpr state::Duration MinFirstByteTimeout = std::chrono::milliseconds(400);
 
 /**
- * Time between events, as a multiple of the route's pause target, after which a stream is resumed at another target.
+ * Time between events, as a share of the time after which the caller leaves, after which a stream moves to another
+ * target. The rest is for the prefill there. A sound target may pause for a second.
  */
-constexpr double EventGapTimeoutFactor = 4;
+constexpr double EventGapShare = 0.6;
 
-/** Time between events after which a stream is resumed if the route declares no pause target. */
-constexpr state::Duration DefaultEventGapTimeout = std::chrono::milliseconds(2000);
+/** Largest share of the time left for a request that a silent target may use up. */
+constexpr double MaxSilenceShare = 0.5;
 
 /** Number of attempts without a connection after which a request is refused. */
 constexpr std::size_t MaxUnreachableAttempts = 3;
@@ -92,6 +93,11 @@
     , m_arrived(arrived)
     , m_admission(context, m_request, arrived, m_admitted)
     , m_decisionTimer(context.io)
+    , m_handover(context, *this, [this](const Decision &decision) {
+        return blockedHere(decision)
+            ? nullptr
+            : std::make_shared<TargetAttempt>(m_context, attemptTarget(decision), inactivityTimeouts(m_context.now()));
+    })
 {
 }
 
@@ -105,7 +111,9 @@
     if (auto refusal = m_admission.check()) {
         co_return co_await writeResponse(std::move(*refusal));
     }
-    co_return co_await serve();
+    const bool keep = co_await serve();
+    m_handover.cancel(m_context.now());
+    co_return keep;
 }
 
 asio::awaitable<bool> Exchange::serve()
@@ -114,7 +122,11 @@
     std::optional<Response> targetErrorResponse; // Sent if no later attempt gets a better response.
     std::size_t unreachable = 0;
     for (;;) {
-        if (auto refusal = co_await waitForTarget()) {
+        std::optional<Response> refusal;
+        if (!takeHandover()) {
+            refusal = co_await waitForTarget();
+        }
+        if (refusal) {
             if (m_state == State::CallerDisconnected) {
                 logResponse(0, "caller_left");
                 co_return false;
@@ -129,6 +141,9 @@
         AttemptResult result = co_await runAttempt();
         m_mayHaveRun = m_mayHaveRun || result.mayHaveRun;
         m_lastOutcome = result.outcome;
+        if (!m_handover.ready()) {
+            m_handover.cancel(m_context.now());
+        }
         if (m_state == State::CallerDisconnected) {
             logResponse(0, "caller_left");
             co_return false;
@@ -156,12 +171,10 @@
     }
 }
 
-/** Waits until the scheduler has chosen a target; returns the error response if it refuses the request. */
-asio::awaitable<std::optional<Response>> Exchange::waitForTarget()
+/** Returns this request as the scheduler sees it, without an id. */
+ScheduledRequest Exchange::scheduledRequest() const
 {
-    const state::Time now = m_context.now();
     ScheduledRequest request;
-    request.id = m_id = ++m_context.lastRequestId;
     request.service = m_admitted.service;
     request.route = m_admitted.route->name;
     // The two priorities are added. Comparing one after the other would starve less urgent customers under overload.
@@ -183,6 +196,15 @@
         request.customer = m_admitted.customer;
         request.cost = m_admitted.cost;
     }
+    return request;
+}
+
+/** Waits until the scheduler has chosen a target; returns the error response if it refuses the request. */
+asio::awaitable<std::optional<Response>> Exchange::waitForTarget()
+{
+    const state::Time now = m_context.now();
+    ScheduledRequest request = scheduledRequest();
+    request.id = m_id = ++m_context.lastRequestId;
     m_decision.reset();
     m_context.waitingExchanges[m_id] = this;
     m_context.fleet.submit(std::move(request), now);
@@ -226,20 +248,73 @@
     co_return std::nullopt;
 }
 
+/** Returns whether this host knows that the request crashes the target of @p decision. */
+bool Exchange::blockedHere(const Decision &decision) const
+{
+    const auto &target = decision.target;
+    const std::uint32_t build = coordination::entry::buildHash(target.service, target.softwareVersion);
+    return !decision.isTrial && m_context.scheduler.suspects().isBlocked(m_admitted.fields.promptParts, build);
+}
+
 /** Turns the decision into a refusal if this host knows that the request crashes targets and the decider did not. */
 void Exchange::refuseIfBlocked()
 {
-    const auto &parts = m_admitted.fields.promptParts;
-    const auto &suspects = m_context.scheduler.suspects();
-    const auto &target = m_decision->target;
-    const std::uint32_t build = coordination::entry::buildHash(target.service, target.softwareVersion);
-    if (m_decision->refusal || m_decision->isTrial || !suspects.isBlocked(parts, build)) {
+    if (m_decision->refusal || !blockedHere(*m_decision)) {
         return;
     }
     const state::Time now = m_context.now();
     m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
     m_decision->refusal = RefusalReason::CrashesTargets;
-    m_decision->retryAfter = std::max(TargetRetryAfter, suspects.timeToTrial(parts, now));
+    m_decision->retryAfter =
+        std::max(TargetRetryAfter, m_context.scheduler.suspects().timeToTrial(m_admitted.fields.promptParts, now));
+}
+
+/** Requests another target for a request whose target is silent. The attempt goes on until there is one. */
+void Exchange::requestHandover(state::Time now)
+{
+    if (m_handover.mayBegin(now) && repeatable() && mayTryAnotherTarget(now)) {
+        logEvent("handover_requested",
+                 { { "request", m_admitted.fields.attemptId },
+                   { "target", m_triedTargets.empty() ? "none" : m_triedTargets.back() },
+                   { "silent_ms", milliseconds(now - std::max(m_lastEventAt, m_dispatched)) } });
+        m_handover.begin(scheduledRequest(), now);
+    }
+}
+
+void Exchange::handoverReady()
+{
+    const state::Time now = m_context.now();
+    const std::size_t hosts = m_context.fleet.hosts(now);
+    const bool moves = m_state == State::Open && m_attempt && m_attempt->isSilent(now)
+        && m_context.scheduler.retryBudget().take(m_admitted.service, hosts, now);
+    if (!moves) {
+        m_handover.cancel(now);
+        return;
+    }
+    m_attempt->giveUpSilent();
+}
+
+/** Continues with the target of the handover, if there is one; returns whether that is so. */
+bool Exchange::takeHandover()
+{
+    if (!m_handover.ready()) {
+        return false;
+    }
+    HandoverTarget target = m_handover.take();
+    m_decision = std::move(target.decision);
+    m_id = m_decision->request;
+    m_attempt = std::move(target.attempt);
+    return true;
+}
+
+/** Ends the attempt. A target that is silent when the time is over counts as stalled. */
+void Exchange::endAttempt(state::Time now)
+{
+    if (repeatable() && m_attempt->isSilent(now)) {
+        m_attempt->giveUpSilent();
+    } else {
+        m_attempt->abort();
+    }
 }
 
 asio::awaitable<AttemptResult> Exchange::runAttempt()
@@ -250,10 +325,12 @@
     AttemptResult result;
     if (m_state != State::Open) {
         result.outcome = AttemptOutcome::Abandoned;
+        m_attempt.reset();
         m_context.fleet.finished(m_id, result.outcome, 0, now);
         co_return result;
     }
     m_triedTargets.push_back(target);
+    m_dispatched = now;
     logEvent("dispatch",
              { { "request", m_admitted.fields.attemptId },
                { "route", m_admitted.route->name },
@@ -278,7 +355,9 @@
     fields.lastEventId = m_lastEventId ? m_lastEventId : m_admitted.fields.lastEventId;
     m_context.codec.prepareForward(request, fields);
     request.prepare_payload();
-    m_attempt = std::make_unique<TargetAttempt>(m_context, attemptTarget(entry), inactivityTimeouts());
+    if (!m_attempt) {
+        m_attempt = std::make_shared<TargetAttempt>(m_context, attemptTarget(*m_decision), inactivityTimeouts(now));
+    }
     const bool streaming = m_admitted.route->kind == RequestKind::Streaming;
     result = co_await m_attempt->run(std::move(request), m_admitted.fields.attemptId, streaming, *this);
     if (m_attempt->lastEventId()) {
@@ -312,33 +391,33 @@
     co_return result;
 }
 
-AttemptTarget Exchange::attemptTarget(const state::entry::TargetEntry &entry) const
+AttemptTarget Exchange::attemptTarget(const Decision &decision) const
 {
+    const state::entry::TargetEntry &entry = decision.target;
     const state::entry::Service *service = m_admitted.table->findService(entry.service);
     const std::uint32_t maxConnections = service == nullptr ? 0 : service->maxConnections;
     const std::size_t hosts = m_context.fleet.hosts(m_context.now());
     return { entry.id,
-             m_decision->targetHash,
+             decision.targetHash,
              { entry.address, entry.port },
              coordination::entry::idleConnectionLimit(maxConnections, entry.slots, hosts) };
 }
 
 /**
- * Returns the timeouts after which the request is sent to another target. A request that must not run twice waits until
- * its deadline has passed.
+ * Returns the times after which the target of the request counts as silent. A request that must not run twice waits
+ * until its deadline has passed.
  */
-InactivityTimeouts Exchange::inactivityTimeouts() const
+InactivityTimeouts Exchange::inactivityTimeouts(state::Time now) const
 {
+    const state::Duration left = m_admitted.deadline - now;
     if (!repeatable()) {
-        const state::Duration left = m_admitted.deadline - m_context.now() + SlowCallerGrace;
-        return { left, left };
+        return { left + SlowCallerGrace, left + SlowCallerGrace };
     }
+    const state::Duration longest = state::scaled(left, MaxSilenceShare);
     InactivityTimeouts timeouts;
     timeouts.firstByte =
         std::max(MinFirstByteTimeout, state::scaled(m_admitted.route->latencyTarget, FirstByteTimeoutFactor));
-    timeouts.betweenEvents = m_admitted.route->pauseTarget > state::Duration::zero()
-        ? state::scaled(m_admitted.route->pauseTarget, EventGapTimeoutFactor)
-        : DefaultEventGapTimeout;
+    timeouts.betweenEvents = std::min(longest, state::scaled(m_admitted.route->callerIdleTimeout, EventGapShare));
     return timeouts;
 }
 
@@ -352,6 +431,9 @@
     if (ended || m_state != State::Open || m_admitted.deadline - m_context.now() < MinRetryTime) {
         return false;
     }
+    if (m_handover.ready()) {
+        return true; // Charged when the silent target was given up.
+    }
     const bool safe = !m_mayHaveRun || repeatable();
     if (!safe) {
         return false;
@@ -359,13 +441,19 @@
     if (result.outcome == AttemptOutcome::Unreachable) {
         return true;
     }
-    if (m_triedTargets.size() >= m_admitted.route->maxTargets) {
+    if (!mayTryAnotherTarget(m_context.now())) {
         return false;
     }
     const std::size_t hosts = m_context.fleet.hosts(m_context.now());
     return m_context.scheduler.retryBudget().take(m_admitted.service, hosts, m_context.now());
 }
 
+bool Exchange::mayTryAnotherTarget(state::Time now) const
+{
+    return m_state == State::Open && m_triedTargets.size() < m_admitted.route->maxTargets
+        && m_admitted.deadline - now >= MinRetryTime;
+}
+
 Response Exchange::finalResponse(AttemptResult result)
 {
     if (result.response && result.outcome != AttemptOutcome::NotExecuted
@@ -384,6 +472,10 @@
 
 void Exchange::decided(Decision decision)
 {
+    if (m_handover.owns(decision.request)) {
+        m_handover.decided(std::move(decision));
+        return;
+    }
     m_decision = std::move(decision);
     m_decisionTimer.cancel();
 }
@@ -398,7 +490,7 @@
     // A request that must not run twice is left to finish: cancelling it would not undo what it did.
     const bool leaveRunning = m_admitted.route != nullptr && m_admitted.route->kind == RequestKind::NonIdempotent;
     if (m_attempt && !(leaveRunning && m_attempt->sent())) {
-        m_attempt->abort();
+        endAttempt(m_context.now());
     }
 }
 
@@ -408,11 +500,15 @@
         m_state = State::TimedOut;
         m_decisionTimer.cancel();
         if (m_attempt) {
-            m_attempt->abort();
+            endAttempt(now);
         }
     }
+    m_handover.checkTimeouts(now);
     if (m_attempt) {
-        m_attempt->checkInactivity(now);
+        m_attempt->checkConnecting(now);
+        if (m_attempt->isSilent(now)) {
+            requestHandover(now);
+        }
     }
     if (m_writing && now >= m_admitted.deadline + SlowCallerGrace) {
         boost::system::error_code ignored;
@@ -433,6 +529,9 @@
 {
     std::string out;
     const state::Time now = m_context.now();
+    if (!m_handover.ready()) {
+        m_handover.cancel(now); // The target is no longer silent.
+    }
     if (m_firstEventAt) {
         m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
     } else {
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -5,6 +5,7 @@
 #include "transport/entry/responses.h"
 #include "transport/entry/servingcontext.h"
 #include "transport/entry/targetattempt.h"
+#include "transport/entry/targethandover.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -39,23 +40,32 @@
     /** Applies the timeouts of the request, of its current attempt and of writes to the caller. */
     void checkTimeouts(state::Time now);
 
+    /** Called when the handover has connected to another target, which may take over from a silent one. */
+    void handoverReady();
+
     void firstEvent() override;
     boost::asio::awaitable<bool> writeEvents(const WireCodec::ResponseHeader &head, std::string events) override;
 
 private:
     enum class State { Open, CallerDisconnected, TimedOut };
 
+    coordination::entry::ScheduledRequest scheduledRequest() const;
     boost::asio::awaitable<std::optional<Response>> waitForTarget();
+    bool takeHandover();
+    void requestHandover(state::Time now);
+    void endAttempt(state::Time now);
+    bool blockedHere(const coordination::entry::Decision &decision) const;
     void refuseIfBlocked();
     boost::asio::awaitable<AttemptResult> runAttempt();
     bool mayRetry(const AttemptResult &result);
+    bool mayTryAnotherTarget(state::Time now) const;
     Response finalResponse(AttemptResult result);
     boost::asio::awaitable<bool> serve();
     boost::asio::awaitable<bool> writeResponse(Response response);
     boost::asio::awaitable<bool> finishStream();
     bool keepAlive() const;
-    AttemptTarget attemptTarget(const state::entry::TargetEntry &entry) const;
-    InactivityTimeouts inactivityTimeouts() const;
+    AttemptTarget attemptTarget(const coordination::entry::Decision &decision) const;
+    InactivityTimeouts inactivityTimeouts(state::Time now) const;
     void logResponse(int status, std::string_view reason);
     void recordUnanswered(std::string_view reason);
     bool repeatable() const
@@ -72,11 +82,13 @@
     std::uint64_t m_id = 0;
     boost::asio::steady_timer m_decisionTimer;
     std::optional<coordination::entry::Decision> m_decision;
-    std::unique_ptr<TargetAttempt> m_attempt;
+    std::shared_ptr<TargetAttempt> m_attempt;
+    TargetHandover m_handover;
     std::vector<std::string> m_triedTargets;
     std::optional<std::uint64_t> m_lastEventId; /**< last event that reached the caller */
     std::optional<state::Time> m_firstEventAt;
     state::Time m_lastEventAt{};
+    state::Time m_dispatched{}; /**< of the current attempt */
     state::Duration m_longestPause{}; /**< between two writes of events */
     bool m_quotaCharged = false; /**< the request was charged to the customer's quota */
     bool m_mayHaveRun = false;
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -60,7 +60,7 @@
 {
     AttemptResult result;
     m_isHead = request.method() == http::verb::head;
-    if (co_await connect(result)) {
+    if (m_connection || co_await connect(result)) {
         if (co_await send(std::make_shared<Request>(std::move(request)), result)) {
             co_await receive(attemptId, streaming, sink, result);
         }
@@ -84,14 +84,20 @@
     }
 }
 
-void TargetAttempt::checkInactivity(state::Time now)
+void TargetAttempt::checkConnecting(state::Time now)
 {
-    if (m_inactivityDeadline && now >= *m_inactivityDeadline && !m_aborted) {
+    if (!m_sent && m_inactivityDeadline && now >= *m_inactivityDeadline && !m_aborted) {
         m_stalled = true;
         abort();
     }
 }
 
+void TargetAttempt::giveUpSilent()
+{
+    m_stalled = true;
+    abort();
+}
+
 asio::awaitable<bool> TargetAttempt::connect(AttemptResult &result)
 {
     m_connection = m_context.pool.acquire(m_target.id, m_context.now());
@@ -110,6 +116,7 @@
         result.detail = "connect: " + error.message();
         co_return false;
     }
+    m_inactivityDeadline.reset();
     prepareSocket(m_connection->socket);
     co_return true;
 }
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -40,7 +40,7 @@
     std::string detail; /**< for the log */
 };
 
-/** Limits on the time in which a target sends nothing in one attempt. */
+/** Times without data in one attempt after which its target counts as silent. */
 struct InactivityTimeouts
 {
     state::Duration firstByte{}; /**< from the end of sending to the first byte of the response */
@@ -62,17 +62,29 @@
 public:
     TargetAttempt(ServingContext &context, AttemptTarget target, InactivityTimeouts timeouts);
 
+    /** Connects to the target; returns false and sets @p result if that fails. */
+    boost::asio::awaitable<bool> connect(AttemptResult &result);
+
     /**
-     * Sends @p request, which belongs to @p attemptId, and reads its response. If @p streaming, an event stream is
-     * forwarded to @p sink event by event.
+     * Connects unless connect() has done so. Sends @p request, which belongs to @p attemptId, and reads its response.
+     * If @p streaming, an event stream is forwarded to @p sink event by event.
      */
     boost::asio::awaitable<AttemptResult> run(Request request, std::string attemptId, bool streaming, StreamSink &sink);
 
     /** Ends the attempt by closing its connection. */
     void abort();
 
-    /** Ends the attempt if the target has sent nothing for too long. */
-    void checkInactivity(state::Time now);
+    /** Ends the attempt if the connection is not established in time. */
+    void checkConnecting(state::Time now);
+
+    /** Returns whether the target has the request and has sent nothing for longer than it should. */
+    bool isSilent(state::Time now) const
+    {
+        return m_sent && !m_aborted && m_inactivityDeadline && now >= *m_inactivityDeadline;
+    }
+
+    /** Ends the attempt because the target is silent. */
+    void giveUpSilent();
 
     /** Returns the id of the last event that was forwarded. */
     std::optional<std::uint64_t> lastEventId() const
@@ -89,7 +101,6 @@
 private:
     using HeadParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    boost::asio::awaitable<bool> connect(AttemptResult &result);
     boost::asio::awaitable<bool> send(std::shared_ptr<Request> request, AttemptResult &result);
     boost::asio::awaitable<void>
     receive(const std::string &attemptId, bool streaming, StreamSink &sink, AttemptResult &result);
