Read each request under the limits in force when it begins

Callers got 413 or 431 for a request that the configuration allows (DENIED, and a 4xx is never repeated). A connection that was idle while a configuration came took the header and body limits from before its idle time for its next request.

The limits are now read when the first byte of a request has arrived.

--- a/src/transport/entry/callersession.cpp
+++ b/src/transport/entry/callersession.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <utility>
 
@@ -80,17 +81,17 @@
 
 asio::awaitable<std::optional<Request>> CallerSession::readRequest()
 {
-    const state::entry::CallerLimits limits =
-        m_context.table ? m_context.table->limits() : state::entry::CallerLimits();
     Parser parser;
-    parser.header_limit(limits.maxHeaderBytes);
-    parser.body_limit(limits.maxBodyBytes);
-    setReadDeadline(ReadPhase::FirstByte, limits.idleTimeout);
     boost::system::error_code error;
+    setReadDeadline(ReadPhase::FirstByte, currentLimits().idleTimeout);
     if (m_buffer.size() == 0) {
         co_await m_socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
     }
     if (!error) {
+        // The configuration may have changed while the connection was idle.
+        const state::entry::CallerLimits limits = currentLimits();
+        parser.header_limit(limits.maxHeaderBytes);
+        parser.body_limit(limits.maxBodyBytes);
         setReadDeadline(ReadPhase::Header, limits.headerTimeout);
         m_receiving = true;
         co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
@@ -114,6 +115,12 @@
     co_return parser.release();
 }
 
+/** Returns the limits of the configuration in force. */
+state::entry::CallerLimits CallerSession::currentLimits() const
+{
+    return m_context.table ? m_context.table->limits() : state::entry::CallerLimits();
+}
+
 /** Sends an error response to a malformed request; does nothing if the connection has ended. */
 asio::awaitable<void> CallerSession::rejectRequest(const boost::system::error_code &error)
 {
--- a/src/transport/entry/callersession.h
+++ b/src/transport/entry/callersession.h
@@ -46,6 +46,7 @@
     boost::asio::awaitable<std::optional<Request>> readRequest();
     boost::asio::awaitable<void> rejectRequest(const boost::system::error_code &error);
     void watchForDisconnect();
+    state::entry::CallerLimits currentLimits() const;
     void setReadDeadline(ReadPhase phase, state::Duration timeout);
     void recordClose(std::string_view cause);
     void close();
