Read what has arrived before a time limit ends a connection

Callers saw a connection end without an answer to a request that had arrived (LOST). The check for idle and slow connections looked at the time only and closed the socket. If the process had been held up, the check came before the read of a request that lay in the socket, or after a read whose handler had not run yet, so that the request went to a target and its answer nowhere.

The check now leaves connections with unread bytes alone and cancels the read, which does nothing to a read that has succeeded. The same holds for idle connections of a stopping host.

--- a/src/transport/entry/callersession.cpp
+++ b/src/transport/entry/callersession.cpp
@@ -176,10 +176,11 @@
     if (m_readDeadline && m_readPhase == ReadPhase::FirstByte) {
         m_readDeadline = std::max(*m_readDeadline, m_readPhaseSince + currentLimits().idleTimeout);
     }
-    if (m_readDeadline && now >= *m_readDeadline) {
+    // What has arrived is read in this turn of the event loop; only then it is known whether the caller is too slow.
+    if (m_readDeadline && now >= *m_readDeadline && !hasUnreadBytes()) {
         m_readDeadline.reset();
         recordClose("timeout");
-        close();
+        cancelRead();
     }
     if (m_exchange) {
         m_exchange->checkTimeouts(now);
@@ -190,7 +191,7 @@
 {
     if (idle()) {
         recordClose("stopping");
-        close();
+        cancelRead();
     }
 }
 
@@ -223,10 +224,18 @@
                { "configuration_age_ms", milliseconds(m_context.now() - m_context.configurationInForce) } });
 }
 
-void CallerSession::close()
+/** Returns whether bytes of the caller have arrived that have not been read from the socket. */
+bool CallerSession::hasUnreadBytes() const
+{
+    boost::system::error_code error;
+    return m_socket.is_open() && m_socket.available(error) > 0 && !error;
+}
+
+/** Ends the connection unless the read has just succeeded. Closing it would lose a request that was read. */
+void CallerSession::cancelRead()
 {
     boost::system::error_code ignored;
-    m_socket.close(ignored);
+    m_socket.cancel(ignored);
 }
 
 } // namespace sapphirecove::transport::entry
--- a/src/transport/entry/callersession.h
+++ b/src/transport/entry/callersession.h
@@ -23,16 +23,16 @@
     /** Serves requests until the connection ends. */
     boost::asio::awaitable<void> run();
 
-    /** Closes the connection if a read has timed out, and checks the timeouts of the current request. */
+    /** Ends the connection if a read has timed out, and checks the timeouts of the current request. */
     void checkTimeouts(state::Time now);
 
-    /** Returns whether no request is being received or served. */
+    /** Returns whether no request has begun to arrive and none is being served. */
     bool idle() const
     {
-        return !m_exchange && !m_receiving;
+        return !m_exchange && !m_receiving && !hasUnreadBytes();
     }
 
-    /** Closes the connection if no request is being received or served. */
+    /** Ends the connection if no request is being received or served. */
     void closeIfIdle();
 
 private:
@@ -49,7 +49,8 @@
     state::entry::CallerLimits currentLimits() const;
     void setReadDeadline(ReadPhase phase, state::Duration timeout);
     void recordClose(std::string_view cause);
-    void close();
+    bool hasUnreadBytes() const;
+    void cancelRead();
 
     ServingContext &m_context;
     boost::asio::ip::tcp::socket m_socket;
--- a/tests/transport/entry/testunanswered.cpp
+++ b/tests/transport/entry/testunanswered.cpp
@@ -169,3 +169,25 @@
     REQUIRE(fixture.ready());
     CHECK(contains(callOn(connection, "/second/", 100), " 200 "));
 }
+
+// Guards against LOST: after a pause of the process, the check for idle connections comes before the read.
+TEST_CASE("a request that has arrived is answered although the idle limit has passed", "[entry][host][unanswered]")
+{
+    ScriptedTarget target([](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\n" + std::string(Seal)
+                         + "Connection: close\r\nContent-Length: 2\r\n\r\nok");
+    });
+    EntryFixture fixture({ target.port() });
+    // The pause mostly meets another reader of the clock than the check.
+    constexpr int rounds = 400;
+    for (int round = 0; round < rounds; ++round) {
+        BlockingConnection connection(fixture.settings().callers.port);
+        connection.write(EntryFixture::request(LookupPath, "a1") + "\r\n");
+        REQUIRE(contains(connection.readUntil("\r\n\r\n"), "HTTP/1.1 "));
+        fixture.clock().pause();
+        connection.write(EntryFixture::request(LookupPath, "a2") + "\r\n");
+        fixture.clock().advance(std::chrono::seconds(16));
+        fixture.clock().resume();
+        CHECK(contains(connection.readUntil("\r\n\r\n"), "HTTP/1.1 "));
+    }
+}
