--- a/tests/transport/entry/storehost.h
+++ b/tests/transport/entry/storehost.h
@@ -53,7 +53,7 @@
     ~StoreHost()
     {
         m_host->stop();
-        m_thread.join();
+        waitUntilStopped();
     }
 
     StoreHost(const StoreHost &) = delete;
@@ -72,6 +72,27 @@
         return m_settings.callers.port;
     }
 
+    /** Lets SIGHUP read the same settings again. */
+    void acceptReloads()
+    {
+        m_host->setSettingsReader([this]() -> state::Result<protocol::EntrySettings> {
+            return m_settings;
+        });
+    }
+
+    /** Begins what SIGTERM begins. */
+    void beginStop()
+    {
+        m_host->beginStop();
+    }
+
+    void waitUntilStopped()
+    {
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
     ShiftedClock &clock()
     {
         return m_clock;
