Add failing tests from the review of unanswered requests

A reviewer who had not seen the work looked for the same cause elsewhere, and for faults of the fix. Six tests fail on this code: an exception after the admission, a next target that connects but does not take over, handovers without a retry in the budget, requests in hand at the end of the grace period, a slow but steady response that is moved, and a refusal of HEAD with a body.

--- /dev/null
+++ b/tests/transport/entry/testrequestsinhand.cpp
@@ -0,0 +1,264 @@
+#include "tests/transport/entry/entryfixture.h"
+#include "tests/transport/entry/restorablestore.h"
+#include "tests/transport/entry/storehost.h"
+
+#include <atomic>
+#include <chrono>
+#include <future>
+
+using namespace sapphirecove;
+using namespace sapphirecove::tests;
+using namespace sapphirecove::tests::entry;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+bool contains(const std::string &text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string eventChunk(int id)
+{
+    const std::string number = std::to_string(id);
+    const std::string event = "id: " + number + "\ndata: e" + number + "\n\n";
+    char size[24];
+    std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+    return size + event + "\r\n";
+}
+
+std::string streamHead()
+{
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\n" + std::string(Seal)
+        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string okResponse()
+{
+    return "HTTP/1.1 200 OK\r\n" + std::string(Seal) + "Connection: close\r\nContent-Length: 2\r\n\r\nok";
+}
+
+/** Host with one idempotent route, and bounds that a test sets. */
+class BoundedHost
+{
+public:
+    BoundedHost(state::entry::Bounds bounds, const std::vector<std::uint16_t> &targets, int slots)
+    {
+        m_store.write(transport::entry::StoreTopic::Operator,
+                      "config",
+                      R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/r/","kind":"idempotent",)"
+                      R"("timeoutMs":30000,"targetLatencyMs":150,"priority":0,"service":"s","maxAttempts":2,)"
+                      R"("public":false}],"services":[{"name":"s"}],)"
+                      R"("tenants":[{"name":"t1","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})");
+        for (const std::uint16_t port : targets) {
+            m_store.write(transport::entry::StoreTopic::Targets,
+                          "i-" + std::to_string(port),
+                          R"({"service":"s","address":"127.0.0.1:)" + std::to_string(port)
+                              + R"(","zone":"osu","version":"v1","concurrency":)" + std::to_string(slots)
+                              + R"(,"state":"ready"})");
+        }
+        m_settings.hostId = "host-1";
+        m_settings.address = "127.0.0.1";
+        m_settings.failureDomain = "osu";
+        m_settings.region = "accra";
+        m_settings.regionOfDomain = { { "osu", "accra" } };
+        m_settings.callers = { "127.0.0.1", freePort() };
+        m_settings.readiness = { "127.0.0.1", freePort() };
+        m_settings.peerPort = freePort();
+        m_settings.store = { "127.0.0.1", 1 };
+        m_settings.firstStart = true;
+        m_settings.bounds = bounds;
+        m_host = state::handleFailure(
+            [&] {
+                return transport::entry::EntryHost::create(
+                    m_settings, m_codec, m_clock, [this](const auto &executor, const auto &) {
+                        return m_store.client(executor);
+                    });
+            },
+            [](const state::Failure &failure) -> std::unique_ptr<transport::entry::EntryHost> {
+                throw std::runtime_error(describe(failure));
+            });
+        m_thread = std::thread([this] {
+            m_host->run();
+        });
+        waitFor([this] {
+            BlockingConnection connection(m_settings.readiness.port);
+            connection.write("GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+            return contains(connection.readToEnd(), " 200 ");
+        });
+    }
+
+    ~BoundedHost()
+    {
+        end();
+    }
+
+    BoundedHost(const BoundedHost &) = delete;
+    BoundedHost &operator=(const BoundedHost &) = delete;
+
+    std::string call() const
+    {
+        BlockingConnection connection(m_settings.callers.port);
+        connection.write("GET /r/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 20000\r\n"
+                         "X-Api-Key: k1\r\nConnection: close\r\n\r\n");
+        return connection.readToEnd();
+    }
+
+    /** Stops the host as SIGTERM does, and lets the whole grace period pass. */
+    void shutDown()
+    {
+        m_host->beginStop();
+        for (state::Duration passed{}; passed < m_settings.bounds.shutdownGrace; passed += milliseconds(200)) {
+            std::this_thread::sleep_for(milliseconds(30));
+            m_clock.advance(milliseconds(200));
+        }
+        std::this_thread::sleep_for(milliseconds(200));
+        end();
+    }
+
+private:
+    void end()
+    {
+        if (m_host) {
+            m_host->stop();
+            m_thread.join();
+            m_host.reset();
+        }
+    }
+
+    RestorableStore m_store;
+    protocol::EntrySettings m_settings;
+    platform::Codec m_codec;
+    ShiftedClock m_clock;
+    std::unique_ptr<transport::entry::EntryHost> m_host;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against LOST: an exception after admission ends the session without an answer and keeps the target's slot.
+TEST_CASE("a TRACE request with a body is answered and keeps no slot", "[entry][host][unanswered]")
+{
+    ScriptedTarget target([](int, const std::string &, BlockingConnection &connection) {
+        connection.write(okResponse());
+    });
+    EntryFixture fixture({ target.port() });
+    constexpr int slots = 4; // of the fixture's target
+    for (int i = 0; i < slots; ++i) {
+        BlockingConnection connection(fixture.settings().callers.port);
+        connection.write(
+            "TRACE " + std::string(LookupPath) + "x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: t" + std::to_string(i)
+            + "\r\nX-Deadline-Ms: 3000\r\nX-Api-Key: k1\r\nContent-Length: 2\r\nConnection: close\r\n\r\nab");
+        CHECK(connection.readToEnd().starts_with("HTTP/1.1 "));
+    }
+    CHECK(contains(fixture.call(LookupPath), " 200 "));
+}
+
+// Guards against LOST: the next target accepts a connection and then does not take the request over.
+TEST_CASE("a stream stays at a silent target unless the next one takes it over", "[entry][host][unanswered]")
+{
+    const bool resets = GENERATE(true, false);
+    CAPTURE(resets);
+    std::atomic<int> calls = 0;
+    const auto script = [&](int, const std::string &request, BlockingConnection &connection) {
+        if (request.empty()) {
+            return;
+        }
+        if (calls++ == 0) {
+            connection.write(streamHead() + eventChunk(1));
+            std::this_thread::sleep_for(milliseconds(1000));
+            connection.write(eventChunk(2) + eventChunk(3) + std::string(LastChunk));
+        } else if (resets) {
+            connection.reset(); // as a target does beyond its maximum of connections
+        } else {
+            connection.write("HTTP/1.1 503 X\r\nX-Attempt-Id: a1\r\nX-Not-Executed: full\r\nContent-Length: 0\r\n\r\n");
+        }
+    };
+    ScriptedTarget one(script);
+    ScriptedTarget two(script);
+    EntryFixture fixture({ one.port(), two.port() });
+    const std::string response = fixture.call(StreamPath);
+    CHECK(contains(response, "data: e3"));
+    CHECK(response.ends_with(LastChunk));
+}
+
+// Guards against load without use: without a retry in the budget, no placement and no connection may be spent.
+TEST_CASE("without a retry in the budget no other target is connected to", "[entry][host][unanswered]")
+{
+    std::atomic<int> calls = 0;
+    const auto script = [&](int, const std::string &request, BlockingConnection &connection) {
+        if (!request.empty() && calls++ == 0) {
+            std::this_thread::sleep_for(milliseconds(1400));
+        }
+        connection.write(okResponse());
+    };
+    ScriptedTarget one(script);
+    ScriptedTarget two(script);
+    state::entry::Bounds bounds;
+    bounds.retryRatio = 0;
+    bounds.retrySlack = 0;
+    BoundedHost host(bounds, { one.port(), two.port() }, 4);
+    CHECK(contains(host.call(), " 200 "));
+    CHECK(one.requests().size() + two.requests().size() == 1); // connections without a request count as well
+}
+
+// Guards against LOST: a stopping host ends with requests in hand and answers none of them.
+TEST_CASE("requests in hand at the end of the grace period are answered", "[entry][host][unanswered]")
+{
+    std::promise<void> over;
+    const auto end = over.get_future().share();
+    ScriptedTarget target([end](int, const std::string &, BlockingConnection &connection) {
+        end.wait_for(std::chrono::seconds(10));
+        connection.close();
+    });
+    BoundedHost host({}, { target.port() }, 1);
+    auto atTarget = std::async(std::launch::async, [&] {
+        return host.call();
+    });
+    REQUIRE(target.waitForRequests(1));
+    auto waiting = std::async(std::launch::async, [&] {
+        return host.call();
+    });
+    std::this_thread::sleep_for(milliseconds(200));
+    host.shutDown();
+    over.set_value();
+    const std::string responseOfWaiting = waiting.get();
+    const std::string responseOfRunning = atTarget.get();
+    CAPTURE(responseOfWaiting, responseOfRunning);
+    CHECK(contains(responseOfWaiting, " 503 ")); // was sent to no target
+    CHECK(responseOfRunning.starts_with("HTTP/1.1 50"));
+}
+
+// Guards against running twice what is on its way: a response whose bytes keep arriving is not silence.
+TEST_CASE("a long response that keeps arriving is not moved", "[entry][host][unanswered]")
+{
+    std::atomic<int> requests = 0;
+    const auto script = [&](int, const std::string &request, BlockingConnection &connection) {
+        if (request.empty()) {
+            return;
+        }
+        ++requests;
+        connection.write("HTTP/1.1 200 OK\r\n" + std::string(Seal) + "Connection: close\r\nContent-Length: 20\r\n\r\n");
+        for (int i = 0; i < 10; ++i) {
+            std::this_thread::sleep_for(milliseconds(80));
+            connection.write("ok");
+        }
+    };
+    ScriptedTarget one(script);
+    ScriptedTarget two(script);
+    EntryFixture fixture({ one.port(), two.port() });
+    CHECK(contains(fixture.call(LookupPath), " 200 "));
+    CHECK(requests == 1);
+}
+
+// Guards against MIXED: bytes after a response to HEAD are taken for the next response of the connection.
+TEST_CASE("a refused HEAD request gets a header only", "[entry][host][unanswered]")
+{
+    ScriptedTarget target([](int, const std::string &, BlockingConnection &connection) {
+        connection.write(okResponse());
+    });
+    EntryFixture fixture({ target.port() });
+    CHECK(fixture.call("/unknown/", "a1", "HEAD").ends_with("\r\n\r\n"));
+}
