Give up a silent target only once the next one answers

Callers saw a stream cut if the next target accepted a connection and then reset it, as targets do beyond their maximum of connections, or answered that it does not run the request. The connection to the silent target was closed by then, and both counted towards the route's maximum.

The first attempt now goes on until the next target has begun to answer, at most 0.3 s after it got the request; a rejection lets the first one go on and does not count as a target tried. The budget is asked before a placement is. TargetAttempt::run() is split into begin() and finish() for that.

--- a/src/coordination/entry/fleetretrybudget.cpp
+++ b/src/coordination/entry/fleetretrybudget.cpp
@@ -21,15 +21,20 @@
     windowOf(service).requests.add(now);
 }
 
-bool FleetRetryBudget::take(std::string_view service, std::size_t hosts, state::Time now)
+bool FleetRetryBudget::available(std::string_view service, std::size_t hosts, state::Time now)
 {
     Window &window = windowOf(service);
     const double allowed = m_ratio * static_cast<double>(window.requests.count(now))
         + m_slack / static_cast<double>(hosts == 0 ? 1 : hosts);
-    if (static_cast<double>(window.retries.count(now)) + 1 > allowed) {
+    return static_cast<double>(window.retries.count(now)) + 1 <= allowed;
+}
+
+bool FleetRetryBudget::take(std::string_view service, std::size_t hosts, state::Time now)
+{
+    if (!available(service, hosts, now)) {
         return false;
     }
-    window.retries.add(now);
+    windowOf(service).retries.add(now);
     return true;
 }
 
--- a/src/coordination/entry/fleetretrybudget.h
+++ b/src/coordination/entry/fleetretrybudget.h
@@ -25,6 +25,9 @@
     /** Counts the first send of a request. */
     void recordRequest(std::string_view service, state::Time now);
 
+    /** Returns whether take() would succeed. */
+    bool available(std::string_view service, std::size_t hosts, state::Time now);
+
     /** Takes one retry from the budget; @p hosts share the slack. Returns false if the budget is used up. */
     bool take(std::string_view service, std::size_t hosts, state::Time now);
 
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -53,6 +53,9 @@
 /** Number of attempts without a connection after which a request is refused. */
 constexpr std::size_t MaxUnreachableAttempts = 3;
 
+/** Number of targets that may refuse to take over a request from a silent one. */
+constexpr std::size_t MaxRejections = 3;
+
 /** A request with less remaining time than this is not sent again. */
 constexpr state::Duration MinRetryTime = std::chrono::milliseconds(50);
 
@@ -93,11 +96,7 @@
     , m_arrived(arrived)
     , m_admission(context, m_request, arrived, m_admitted)
     , m_decisionTimer(context.io)
-    , m_handover(context, *this, [this](const Decision &decision) {
-        return blockedHere(decision)
-            ? nullptr
-            : std::make_shared<TargetAttempt>(m_context, attemptTarget(decision), inactivityTimeouts(m_context.now()));
-    })
+    , m_handover(context, *this, *this)
 {
 }
 
@@ -122,8 +121,9 @@
     std::optional<Response> targetErrorResponse; // Sent if no later attempt gets a better response.
     std::size_t unreachable = 0;
     for (;;) {
+        auto handover = co_await m_handover.take();
         std::optional<Response> refusal;
-        if (!takeHandover()) {
+        if (!handover) {
             refusal = co_await waitForTarget();
         }
         if (refusal) {
@@ -138,12 +138,15 @@
             co_return co_await writeResponse(targetErrorResponse ? std::move(*targetErrorResponse)
                                                                  : std::move(*refusal));
         }
-        AttemptResult result = co_await runAttempt();
+        AttemptResult result;
+        if (handover) {
+            result = co_await continueHandover(std::move(*handover));
+        } else {
+            result = co_await runAttempt();
+        }
         m_mayHaveRun = m_mayHaveRun || result.mayHaveRun;
         m_lastOutcome = result.outcome;
-        if (!m_handover.ready()) {
-            m_handover.cancel(m_context.now());
-        }
+        m_handover.firstAttemptEnded(m_context.now());
         if (m_state == State::CallerDisconnected) {
             logResponse(0, "caller_left");
             co_return false;
@@ -191,6 +194,7 @@
     request.promptTokens = m_admitted.fields.promptTokens;
     request.expectedOutputTokens = m_admitted.fields.expectedOutputTokens;
     request.excludedTargets = m_triedTargets;
+    request.excludedTargets.insert(request.excludedTargets.end(), m_rejectingTargets.begin(), m_rejectingTargets.end());
     request.parts = m_admitted.fields.promptParts;
     if (!m_quotaCharged) {
         request.customer = m_admitted.customer;
@@ -269,42 +273,78 @@
         std::max(TargetRetryAfter, m_context.scheduler.suspects().timeToTrial(m_admitted.fields.promptParts, now));
 }
 
-/** Requests another target for a request whose target is silent. The attempt goes on until there is one. */
+/** Requests another target for a request whose target is silent. The attempt goes on until that one answers. */
 void Exchange::requestHandover(state::Time now)
 {
-    if (m_handover.mayBegin(now) && repeatable() && mayTryAnotherTarget(now)) {
-        logEvent("handover_requested",
-                 { { "request", m_admitted.fields.attemptId },
-                   { "target", m_triedTargets.empty() ? "none" : m_triedTargets.back() },
-                   { "silent_ms", milliseconds(now - std::max(m_lastEventAt, m_dispatched)) } });
-        m_handover.begin(scheduledRequest(), now);
+    const std::size_t hosts = m_context.fleet.hosts(now);
+    const bool possible = m_handover.mayBegin(now) && repeatable() && mayTryAnotherTarget(now)
+        && m_rejectingTargets.size() < MaxRejections
+        && m_context.scheduler.retryBudget().available(m_admitted.service, hosts, now);
+    if (!possible) {
+        return;
+    }
+    logEvent("handover_requested",
+             { { "request", m_admitted.fields.attemptId },
+               { "target", m_triedTargets.empty() ? "none" : m_triedTargets.back() },
+               { "silent_ms", milliseconds(now - std::max(m_lastEventAt, m_dispatched)) } });
+    m_handover.begin(scheduledRequest(), now);
+}
+
+std::shared_ptr<TargetAttempt> Exchange::makeAttempt(const Decision &decision)
+{
+    if (blockedHere(decision)) {
+        return nullptr;
     }
+    return std::make_shared<TargetAttempt>(m_context, attemptTarget(decision), inactivityTimeouts(m_context.now()));
 }
 
-void Exchange::handoverReady()
+std::optional<HandoverRequest> Exchange::beginHandover(const Decision &decision)
 {
     const state::Time now = m_context.now();
-    const std::size_t hosts = m_context.fleet.hosts(now);
     const bool moves = m_state == State::Open && m_attempt && m_attempt->isSilent(now)
-        && m_context.scheduler.retryBudget().take(m_admitted.service, hosts, now);
+        && m_context.scheduler.retryBudget().take(m_admitted.service, m_context.fleet.hosts(now), now);
     if (!moves) {
-        m_handover.cancel(now);
-        return;
+        return std::nullopt;
     }
-    m_attempt->giveUpSilent();
+    HandoverRequest request{ forwardRequest(decision, now), m_admitted.fields.attemptId };
+    recordDispatch(decision, now);
+    return request;
 }
 
-/** Continues with the target of the handover, if there is one; returns whether that is so. */
-bool Exchange::takeHandover()
+void Exchange::endSilentAttempt()
 {
-    if (!m_handover.ready()) {
-        return false;
+    if (m_attempt) {
+        m_attempt->giveUpSilent();
+    }
+}
+
+asio::awaitable<void> Exchange::handoverFailed(Decision decision, AttemptResult result, bool rejected)
+{
+    // Copied, as this request may be gone after the wait.
+    const std::uint64_t id = decision.request;
+    ServingContext &context = m_context;
+    m_mayHaveRun = m_mayHaveRun || result.mayHaveRun;
+    if (rejected) {
+        std::erase(m_triedTargets, decision.target.id); // It did not run there.
+        m_rejectingTargets.push_back(decision.target.id);
+        result.outcome = AttemptOutcome::NotExecuted;
+    }
+    recordFailure(result, decision.target);
+    if (result.outcome == AttemptOutcome::Broken && !m_admitted.fields.promptParts.empty()) {
+        const protocol::Endpoint endpoint{ decision.target.address, decision.target.port };
+        const bool refused = co_await refusesConnections(context.io, endpoint);
+        result.outcome = refused ? AttemptOutcome::Crashed : result.outcome;
     }
-    HandoverTarget target = m_handover.take();
+    context.fleet.finished(id, result.outcome, 0, context.now());
+}
+
+/** Continues with the target that has taken over. */
+asio::awaitable<AttemptResult> Exchange::continueHandover(HandoverTarget target)
+{
     m_decision = std::move(target.decision);
     m_id = m_decision->request;
     m_attempt = std::move(target.attempt);
-    return true;
+    co_return co_await finishAttempt(target.begun, std::move(target.result));
 }
 
 /** Ends the attempt. A target that is silent when the time is over counts as stalled. */
@@ -317,53 +357,86 @@
     }
 }
 
-asio::awaitable<AttemptResult> Exchange::runAttempt()
+/** Records that the request is sent to the target of @p decision. */
+void Exchange::recordDispatch(const Decision &decision, state::Time now)
 {
-    const state::Time now = m_context.now();
-    const state::entry::TargetEntry entry = m_decision->target;
-    const std::string &target = entry.id;
-    AttemptResult result;
-    if (m_state != State::Open) {
-        result.outcome = AttemptOutcome::Abandoned;
-        m_attempt.reset();
-        m_context.fleet.finished(m_id, result.outcome, 0, now);
-        co_return result;
-    }
-    m_triedTargets.push_back(target);
+    m_triedTargets.push_back(decision.target.id);
     m_dispatched = now;
     logEvent("dispatch",
              { { "request", m_admitted.fields.attemptId },
                { "route", m_admitted.route->name },
                { "customer", m_admitted.customer },
-               { "target", target },
-               { "decider", m_decision->decider },
-               { "version", entry.softwareVersion },
-               { "target_running", std::to_string(m_decision->targetRunning) },
-               { "target_limit", describeLimit(m_context.scheduler.limits().find(m_decision->targetHash), now) },
-               { "decider_limit", describeRate(m_decision->targetLimit) },
-               { "expected_first_ms", std::to_string(static_cast<int>(m_decision->expectedFirstMs)) },
+               { "target", decision.target.id },
+               { "decider", decision.decider },
+               { "version", decision.target.softwareVersion },
+               { "target_running", std::to_string(decision.targetRunning) },
+               { "target_limit", describeLimit(m_context.scheduler.limits().find(decision.targetHash), now) },
+               { "decider_limit", describeRate(decision.targetLimit) },
+               { "expected_first_ms", std::to_string(static_cast<int>(decision.expectedFirstMs)) },
                { "parts", describeParts(m_admitted.fields.promptParts) },
-               { "trial", m_decision->isTrial ? "yes" : "no" },
+               { "trial", decision.isTrial ? "yes" : "no" },
                { "waited_ms", milliseconds(now - m_arrived) },
                { "attempt", std::to_string(m_triedTargets.size()) } });
+}
+
+/** Returns the request as it is sent to the target of @p decision. */
+Request Exchange::forwardRequest(const Decision &decision, state::Time now) const
+{
     Request request = m_request;
     removeHopByHopFields(request);
     ForwardFields fields;
-    fields.targetId = target;
+    fields.targetId = decision.target.id;
     fields.customer = m_admitted.customer;
     fields.deadline = m_admitted.deadline - now;
     fields.lastEventId = m_lastEventId ? m_lastEventId : m_admitted.fields.lastEventId;
+    if (m_attempt && m_attempt->lastEventId()) {
+        fields.lastEventId = m_attempt->lastEventId();
+    }
     m_context.codec.prepareForward(request, fields);
     request.prepare_payload();
-    if (!m_attempt) {
-        m_attempt = std::make_shared<TargetAttempt>(m_context, attemptTarget(*m_decision), inactivityTimeouts(now));
+    return request;
+}
+
+asio::awaitable<AttemptResult> Exchange::runAttempt()
+{
+    const state::Time now = m_context.now();
+    AttemptResult result;
+    if (m_state != State::Open) {
+        result.outcome = AttemptOutcome::Abandoned;
+        m_context.fleet.finished(m_id, result.outcome, 0, now);
+        co_return result;
     }
+    recordDispatch(*m_decision, now);
+    Request request = forwardRequest(*m_decision, now);
+    m_attempt = std::make_shared<TargetAttempt>(m_context, attemptTarget(*m_decision), inactivityTimeouts(now));
+    const bool begun = co_await m_attempt->begin(std::move(request), m_admitted.fields.attemptId, result);
+    co_return co_await finishAttempt(begun, std::move(result));
+}
+
+/** Reads the rest of the response, and reports how the attempt ended. */
+asio::awaitable<AttemptResult> Exchange::finishAttempt(bool begun, AttemptResult result)
+{
+    const state::entry::TargetEntry entry = m_decision->target;
     const bool streaming = m_admitted.route->kind == RequestKind::Streaming;
-    result = co_await m_attempt->run(std::move(request), m_admitted.fields.attemptId, streaming, *this);
+    result = co_await m_attempt->finish(begun, std::move(result), streaming, *this);
     if (m_attempt->lastEventId()) {
         m_lastEventId = m_attempt->lastEventId();
     }
     m_attempt.reset();
+    co_await classifyFailure(result, entry);
+    if (result.outcome == AttemptOutcome::Unreachable) {
+        m_triedTargets.pop_back(); // Nothing was sent. The ejection of the target keeps the request away from it.
+    }
+    if (result.outcome != AttemptOutcome::Served) {
+        recordFailure(result, entry);
+    }
+    m_context.fleet.finished(m_id, result.outcome, result.events, m_context.now());
+    co_return result;
+}
+
+/** Tells a crash of the target from a broken connection, and another incarnation from a refusal. */
+asio::awaitable<void> Exchange::classifyFailure(AttemptResult &result, const state::entry::TargetEntry &entry)
+{
     if (result.outcome == AttemptOutcome::Broken && !m_admitted.fields.promptParts.empty()) {
         const protocol::Endpoint endpoint{ entry.address, entry.port };
         const bool refused = co_await refusesConnections(m_context.io, endpoint);
@@ -373,22 +446,19 @@
         && result.response->result() == http::status::misdirected_request) {
         result.outcome = AttemptOutcome::Misdirected;
     }
-    if (result.outcome == AttemptOutcome::Unreachable) {
-        m_triedTargets.pop_back(); // Nothing was sent. The ejection of the target keeps the request away from it.
-    }
-    if (result.outcome != AttemptOutcome::Served) {
-        m_context.metrics.count("attempts_" + std::string(nameOf(result.outcome)) + "_total");
-        logEvent("attempt_failed",
-                 { { "request", m_admitted.fields.attemptId },
-                   { "target", target },
-                   { "outcome", std::string(nameOf(result.outcome)) },
-                   { "may_have_run", result.mayHaveRun ? "yes" : "no" },
-                   { "events", std::to_string(result.events) },
-                   { "parts", describeParts(m_admitted.fields.promptParts) },
-                   { "detail", result.detail } });
-    }
-    m_context.fleet.finished(m_id, result.outcome, result.events, m_context.now());
-    co_return result;
+}
+
+void Exchange::recordFailure(const AttemptResult &result, const state::entry::TargetEntry &entry)
+{
+    m_context.metrics.count("attempts_" + std::string(nameOf(result.outcome)) + "_total");
+    logEvent("attempt_failed",
+             { { "request", m_admitted.fields.attemptId },
+               { "target", entry.id },
+               { "outcome", std::string(nameOf(result.outcome)) },
+               { "may_have_run", result.mayHaveRun ? "yes" : "no" },
+               { "events", std::to_string(result.events) },
+               { "parts", describeParts(m_admitted.fields.promptParts) },
+               { "detail", result.detail } });
 }
 
 AttemptTarget Exchange::attemptTarget(const Decision &decision) const
@@ -431,8 +501,8 @@
     if (ended || m_state != State::Open || m_admitted.deadline - m_context.now() < MinRetryTime) {
         return false;
     }
-    if (m_handover.ready()) {
-        return true; // Charged when the silent target was given up.
+    if (m_handover.committed()) {
+        return true; // Charged when the next target got the request.
     }
     const bool safe = !m_mayHaveRun || repeatable();
     if (!safe) {
@@ -487,6 +557,7 @@
     }
     m_state = State::CallerDisconnected;
     m_decisionTimer.cancel();
+    m_handover.cancel(m_context.now());
     // A request that must not run twice is left to finish: cancelling it would not undo what it did.
     const bool leaveRunning = m_admitted.route != nullptr && m_admitted.route->kind == RequestKind::NonIdempotent;
     if (m_attempt && !(leaveRunning && m_attempt->sent())) {
@@ -499,6 +570,7 @@
     if (m_state == State::Open && now >= m_admitted.deadline) {
         m_state = State::TimedOut;
         m_decisionTimer.cancel();
+        m_handover.cancel(now);
         if (m_attempt) {
             endAttempt(now);
         }
@@ -529,9 +601,10 @@
 {
     std::string out;
     const state::Time now = m_context.now();
-    if (!m_handover.ready()) {
-        m_handover.cancel(now); // The target is no longer silent.
+    if (m_handover.committed()) {
+        co_return false; // Another target goes on after the events that were forwarded before.
     }
+    m_handover.cancel(now); // The target is no longer silent.
     if (m_firstEventAt) {
         m_longestPause = std::max(m_longestPause, now - m_lastEventAt);
     } else {
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -19,7 +19,9 @@
 namespace sapphirecove::transport::entry {
 
 /** One request of a caller from its arrival to its final response. */
-class Exchange final : public StreamSink
+class Exchange final
+    : public StreamSink
+    , public HandoverOwner
 {
 public:
     Exchange(ServingContext &context, boost::asio::ip::tcp::socket &caller, Request request, state::Time arrived);
@@ -40,8 +42,11 @@
     /** Applies the timeouts of the request, of its current attempt and of writes to the caller. */
     void checkTimeouts(state::Time now);
 
-    /** Called when the handover has connected to another target, which may take over from a silent one. */
-    void handoverReady();
+    std::shared_ptr<TargetAttempt> makeAttempt(const coordination::entry::Decision &decision) override;
+    std::optional<HandoverRequest> beginHandover(const coordination::entry::Decision &decision) override;
+    void endSilentAttempt() override;
+    boost::asio::awaitable<void>
+    handoverFailed(coordination::entry::Decision decision, AttemptResult result, bool rejected) override;
 
     void firstEvent() override;
     boost::asio::awaitable<bool> writeEvents(const WireCodec::ResponseHeader &head, std::string events) override;
@@ -51,12 +56,17 @@
 
     coordination::entry::ScheduledRequest scheduledRequest() const;
     boost::asio::awaitable<std::optional<Response>> waitForTarget();
-    bool takeHandover();
     void requestHandover(state::Time now);
     void endAttempt(state::Time now);
     bool blockedHere(const coordination::entry::Decision &decision) const;
     void refuseIfBlocked();
+    void recordDispatch(const coordination::entry::Decision &decision, state::Time now);
+    Request forwardRequest(const coordination::entry::Decision &decision, state::Time now) const;
     boost::asio::awaitable<AttemptResult> runAttempt();
+    boost::asio::awaitable<AttemptResult> continueHandover(HandoverTarget target);
+    boost::asio::awaitable<AttemptResult> finishAttempt(bool begun, AttemptResult result);
+    boost::asio::awaitable<void> classifyFailure(AttemptResult &result, const state::entry::TargetEntry &entry);
+    void recordFailure(const AttemptResult &result, const state::entry::TargetEntry &entry);
     bool mayRetry(const AttemptResult &result);
     bool mayTryAnotherTarget(state::Time now) const;
     Response finalResponse(AttemptResult result);
@@ -85,6 +95,7 @@
     std::shared_ptr<TargetAttempt> m_attempt;
     TargetHandover m_handover;
     std::vector<std::string> m_triedTargets;
+    std::vector<std::string> m_rejectingTargets; /**< that did not take over from a silent one */
     std::optional<std::uint64_t> m_lastEventId; /**< last event that reached the caller */
     std::optional<state::Time> m_firstEventAt;
     state::Time m_lastEventAt{};
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -55,21 +55,43 @@
 {
 }
 
-asio::awaitable<AttemptResult>
-TargetAttempt::run(Request request, std::string attemptId, bool streaming, StreamSink &sink)
+asio::awaitable<bool> TargetAttempt::begin(Request request, std::string attemptId, AttemptResult &result)
 {
-    AttemptResult result;
     m_isHead = request.method() == http::verb::head;
-    if (m_connection || co_await connect(result)) {
-        if (co_await send(std::make_shared<Request>(std::move(request)), result)) {
-            co_await receive(attemptId, streaming, sink, result);
+    if (!m_connection) {
+        const bool connected = co_await connect(result);
+        if (!connected) {
+            co_return false;
         }
     }
+    auto message = std::make_shared<Request>(std::move(request));
+    const bool sent = co_await send(std::move(message), result);
+    if (!sent) {
+        co_return false;
+    }
+    const bool hasHeader = co_await readHead(attemptId, result);
+    if (!hasHeader) {
+        co_return false;
+    }
+    m_response = m_context.codec.decodeResponse(m_parser->get());
+    if (m_response.notExecuted) {
+        result.mayHaveRun = false;
+    }
+    recordRateStatement(m_response);
+    co_return true;
+}
+
+asio::awaitable<AttemptResult> TargetAttempt::finish(bool begun, AttemptResult result, bool streaming, StreamSink &sink)
+{
+    if (begun) {
+        co_await receiveBody(streaming, sink, result);
+    }
     m_inactivityDeadline.reset();
-    if (m_stalled) {
+    const bool complete = result.response || result.streamComplete;
+    if (m_stalled && !complete) {
         result.outcome = m_sent ? AttemptOutcome::Stalled : AttemptOutcome::Unreachable;
         result.detail = m_sent ? "no data within the inactivity timeout" : "connection not established in time";
-    } else if (m_aborted) {
+    } else if (m_aborted && !complete) {
         result.outcome = AttemptOutcome::Abandoned;
     }
     co_return result;
@@ -146,20 +168,11 @@
     co_return true;
 }
 
-asio::awaitable<void>
-TargetAttempt::receive(const std::string &attemptId, bool streaming, StreamSink &sink, AttemptResult &result)
+asio::awaitable<void> TargetAttempt::receiveBody(bool streaming, StreamSink &sink, AttemptResult &result)
 {
-    if (!co_await readHead(attemptId, result)) {
-        co_return;
-    }
     const auto &head = m_parser->get();
-    const ResponseFields response = m_context.codec.decodeResponse(head);
-    if (response.notExecuted) {
-        result.mayHaveRun = false;
-    }
-    recordRateStatement(response);
     const bool success = head.result_int() / 100 == 2;
-    if (success && !response.hasSignature) {
+    if (success && !m_response.hasSignature) {
         result.detail = "2xx response without a signature";
         co_return;
     }
@@ -169,7 +182,7 @@
         co_return;
     }
     co_await readFullResponse(result);
-    if (result.response && response.notExecuted) {
+    if (result.response && m_response.notExecuted) {
         result.outcome = AttemptOutcome::NotExecuted;
         result.detail = "status " + std::to_string(head.result_int());
     }
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -66,10 +66,22 @@
     boost::asio::awaitable<bool> connect(AttemptResult &result);
 
     /**
-     * Connects unless connect() has done so. Sends @p request, which belongs to @p attemptId, and reads its response.
-     * If @p streaming, an event stream is forwarded to @p sink event by event.
+     * Connects unless connect() has done so, sends @p request, which belongs to @p attemptId, and reads the header of
+     * its response. Returns false and sets @p result if that fails.
      */
-    boost::asio::awaitable<AttemptResult> run(Request request, std::string attemptId, bool streaming, StreamSink &sink);
+    boost::asio::awaitable<bool> begin(Request request, std::string attemptId, AttemptResult &result);
+
+    /** Returns whether the target has stated that it did not run the request. Valid after begin(). */
+    bool rejected() const
+    {
+        return m_response.notExecuted;
+    }
+
+    /**
+     * Reads the rest of the response and returns the result; @p begun and @p result come from begin(). If @p streaming,
+     * an event stream is forwarded to @p sink event by event.
+     */
+    boost::asio::awaitable<AttemptResult> finish(bool begun, AttemptResult result, bool streaming, StreamSink &sink);
 
     /** Ends the attempt by closing its connection. */
     void abort();
@@ -102,8 +114,7 @@
     using HeadParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     boost::asio::awaitable<bool> send(std::shared_ptr<Request> request, AttemptResult &result);
-    boost::asio::awaitable<void>
-    receive(const std::string &attemptId, bool streaming, StreamSink &sink, AttemptResult &result);
+    boost::asio::awaitable<void> receiveBody(bool streaming, StreamSink &sink, AttemptResult &result);
     boost::asio::awaitable<bool> readHead(const std::string &attemptId, AttemptResult &result);
     boost::asio::awaitable<bool> readBodyChunk(std::string &bytes, AttemptResult &result);
     boost::asio::awaitable<void> readFullResponse(AttemptResult &result);
@@ -117,6 +128,7 @@
     InactivityTimeouts m_timeouts;
     std::unique_ptr<TargetConnection> m_connection;
     std::optional<HeadParser> m_parser;
+    ResponseFields m_response; /**< of the header in the parser */
     std::shared_ptr<bool> m_bodySent = std::make_shared<bool>(false);
     std::optional<std::uint64_t> m_lastEventId;
     std::optional<state::Time> m_inactivityDeadline;
--- a/src/transport/entry/targethandover.cpp
+++ b/src/transport/entry/targethandover.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -21,12 +23,19 @@
 /** Time after a handover failed before the next one begins; slots become free at about this interval under load. */
 constexpr state::Duration RetryInterval = std::chrono::milliseconds(250);
 
+/**
+ * Time for which two targets may have a request. The first one may work on it unheard, and a request must not go on at
+ * two targets for longer.
+ */
+constexpr state::Duration MaxOverlap = std::chrono::milliseconds(300);
+
 } // namespace
 
-TargetHandover::TargetHandover(ServingContext &context, Exchange &owner, MakeAttempt makeAttempt)
+TargetHandover::TargetHandover(ServingContext &context, Exchange &exchange, HandoverOwner &owner)
     : m_context(context)
+    , m_exchange(exchange)
     , m_owner(owner)
-    , m_makeAttempt(std::move(makeAttempt))
+    , m_settled(context.io)
 {
 }
 
@@ -42,7 +51,7 @@
 {
     request.id = m_id = ++m_context.lastRequestId;
     m_step = Step::Requested;
-    m_context.waitingExchanges[m_id] = &m_owner;
+    m_context.waitingExchanges[m_id] = &m_exchange;
     m_context.fleet.submit(std::move(request), now);
 }
 
@@ -56,43 +65,85 @@
         reset(now + RetryInterval);
         return;
     }
-    m_decision = std::move(decision);
-    m_attempt = m_makeAttempt(m_decision);
-    if (!m_attempt) {
+    m_step = Step::Connecting;
+    m_target = { std::move(decision), nullptr, false, {} };
+    m_target.attempt = m_owner.makeAttempt(m_target.decision);
+    if (!m_target.attempt) {
         m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
         reset(now + RetryInterval);
         return;
     }
-    m_step = Step::Connecting;
-    asio::co_spawn(
-        m_context.io,
-        [this, alive = m_alive, attempt = m_attempt]() -> asio::awaitable<void> {
-            AttemptResult result;
-            const bool success = co_await attempt->connect(result);
-            if (*alive && m_attempt == attempt) {
-                connected(success, result.detail);
-            }
-        },
-        asio::detached);
+    asio::co_spawn(m_context.io, run(m_target.attempt), asio::detached);
 }
 
-void TargetHandover::connected(bool success, std::string_view detail)
+/** Connects and sends the request. Ends without effect once the handover is cancelled or the request is gone. */
+asio::awaitable<void> TargetHandover::run(std::shared_ptr<TargetAttempt> attempt)
 {
-    if (success) {
+    const auto alive = m_alive;
+    const auto isCurrent = [this, alive, attempt] {
+        return *alive && m_target.attempt == attempt;
+    };
+    AttemptResult result;
+    bool begun = co_await attempt->connect(result);
+    if (!isCurrent()) {
+        co_return;
+    }
+    if (begun) {
+        auto request = m_owner.beginHandover(m_target.decision);
+        if (!request) {
+            cancel(m_context.now());
+            co_return;
+        }
+        m_step = Step::Sent;
+        m_sentAt = m_context.now();
+        begun = co_await attempt->begin(std::move(request->message), std::move(request->attemptId), result);
+        if (!isCurrent()) {
+            co_return;
+        }
+    }
+    const bool rejected = begun && attempt->rejected();
+    m_target.begun = begun;
+    m_target.result = result;
+    if (m_committed || (begun && !rejected)) {
         m_step = Step::Ready;
-        m_owner.handoverReady();
-        return;
+        commit();
+        m_settled.cancel();
+        co_return;
     }
-    const state::Time now = m_context.now();
-    logEvent("handover_failed", { { "target", m_decision.target.id }, { "detail", std::string(detail) } });
-    m_context.fleet.finished(m_id, AttemptOutcome::Unreachable, 0, now);
-    reset(now + RetryInterval);
+    Decision decision = m_target.decision;
+    logEvent("handover_failed",
+             { { "target", decision.target.id },
+               { "sent", m_step == Step::Sent ? "yes" : "no" },
+               { "rejected", rejected ? "yes" : "no" },
+               { "detail", result.detail } });
+    reset(m_context.now() + RetryInterval);
+    co_await m_owner.handoverFailed(std::move(decision), std::move(result), rejected);
 }
 
 void TargetHandover::checkTimeouts(state::Time now)
 {
     if (m_step == Step::Connecting) {
-        m_attempt->checkConnecting(now);
+        m_target.attempt->checkConnecting(now);
+    } else if (m_step == Step::Sent && now - m_sentAt >= MaxOverlap) {
+        commit();
+    }
+}
+
+/** Ends the first attempt in favour of the next target. */
+void TargetHandover::commit()
+{
+    if (!m_committed) {
+        m_committed = true;
+        m_owner.endSilentAttempt();
+    }
+}
+
+void TargetHandover::firstAttemptEnded(state::Time now)
+{
+    if (m_step == Step::Sent) {
+        m_committed = true;
+    } else if (m_step != Step::Ready) {
+        cancel(now);
     }
 }
 
@@ -104,17 +155,25 @@
     if (m_step == Step::Requested) {
         m_context.fleet.withdraw(m_id, now);
     } else {
-        m_attempt->abort();
+        m_target.attempt->abort();
         m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
     }
     reset(now + RetryInterval);
 }
 
-HandoverTarget TargetHandover::take()
+asio::awaitable<std::optional<HandoverTarget>> TargetHandover::take()
 {
-    HandoverTarget target{ std::move(m_decision), std::move(m_attempt) };
+    while (m_step == Step::Sent) {
+        m_settled.expires_at(asio::steady_timer::time_point::max());
+        boost::system::error_code ignored;
+        co_await m_settled.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    if (m_step != Step::Ready) {
+        co_return std::nullopt;
+    }
+    HandoverTarget target = std::move(m_target);
     reset(m_context.now());
-    return target;
+    co_return target;
 }
 
 void TargetHandover::reset(state::Time nextBegin)
@@ -123,8 +182,10 @@
         m_context.waitingExchanges.erase(m_id);
     }
     m_step = Step::Idle;
-    m_attempt.reset();
+    m_committed = false;
+    m_target = {};
     m_nextBegin = nextBegin;
+    m_settled.cancel();
 }
 
 } // namespace sapphirecove::transport::entry
