Count bytes of a plain response as a sign of life

A response that took longer to arrive than twice the latency target was moved to another target although its bytes kept arriving, and ran twice. The timer was only set when the request was sent. It now restarts with each part of the body. The test "a long response that keeps arriving is not moved" failed before and passes.

--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -288,6 +288,7 @@
         if (!co_await readBodyChunk(bytes, result)) {
             co_return;
         }
+        startInactivityTimer(m_timeouts.firstByte);
         body += bytes;
         if (body.size() > MaxResponseBytes) {
             result.detail = "response larger than " + std::to_string(MaxResponseBytes) + " bytes";
