Write no body after the header of a refused HEAD request

Callers of HEAD got the body of our own error, which they take for the beginning of the next response on a kept connection (MIXED). The header keeps its Content-Length. The test failed before and passes.

--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -662,7 +662,8 @@
 {
     const int status = static_cast<int>(response.result_int());
     const std::string_view ownReason = errorReason(response);
-    const std::string reason(ownReason.empty() ? "answer_of_target" : ownReason);
+    const bool isOwn = !ownReason.empty();
+    const std::string reason(isOwn ? ownReason : "answer_of_target");
     if (m_state == State::CallerDisconnected) {
         logResponse(0, "caller_left");
         co_return false;
@@ -676,6 +677,9 @@
     response.keep_alive(keep);
     if (m_request.method() != http::verb::head) {
         response.prepare_payload();
+    } else if (isOwn) {
+        response.prepare_payload();
+        response.body().clear();
     }
     boost::system::error_code error;
     m_writing = true;
