Answer what is in hand before a stopping host ends

Requests that waited or were at a silent target got a closed connection at the end of the grace period (LOST). The event loop was stopped with them in hand, and the admission bounds new requests only. They are now answered 0.6 s before the end: 503 if they have not run, 504 otherwise. Streams that have begun go on until the end as before.

The test failed before and passes.

--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -56,6 +56,9 @@
 /** Number of targets that may refuse to take over a request from a silent one. */
 constexpr std::size_t MaxRejections = 3;
 
+/** Time before the end of the shutdown grace at which a request without an answer is refused or fails. */
+constexpr state::Duration AnswerReserve = std::chrono::milliseconds(600);
+
 /** A request with less remaining time than this is not sent again. */
 constexpr state::Duration MinRetryTime = std::chrono::milliseconds(50);
 
@@ -565,9 +568,17 @@
     }
 }
 
+/** Returns whether the host ends so soon that what has not been answered must be answered now. */
+bool Exchange::endsSoon(state::Time now) const
+{
+    return m_context.stopping
+        && now - m_context.stoppingSince >= m_context.settings.bounds.shutdownGrace - AnswerReserve;
+}
+
 void Exchange::checkTimeouts(state::Time now)
 {
-    if (m_state == State::Open && now >= m_admitted.deadline) {
+    const bool isOver = now >= m_admitted.deadline || (!m_streamStarted && endsSoon(now));
+    if (m_state == State::Open && isOver) {
         m_state = State::TimedOut;
         m_decisionTimer.cancel();
         m_handover.cancel(now);
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -58,6 +58,7 @@
     boost::asio::awaitable<std::optional<Response>> waitForTarget();
     void requestHandover(state::Time now);
     void endAttempt(state::Time now);
+    bool endsSoon(state::Time now) const;
     bool blockedHere(const coordination::entry::Decision &decision) const;
     void refuseIfBlocked();
     void recordDispatch(const coordination::entry::Decision &decision, state::Time now);
