Answer a request whose handling throws, and give back its target

A TRACE request with a body made Beast throw after the placement: the caller got nothing, and the slot of the target was never given back, so that four such requests took a target of four slots out of use. TRACE with content is now refused with 400, as HTTP demands of callers not to send it. Any other exception ends in 502, or 503 if nothing was sent, and gives the placement back.

--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -113,11 +113,47 @@
     if (auto refusal = m_admission.check()) {
         co_return co_await writeResponse(std::move(*refusal));
     }
-    const bool keep = co_await serve();
+    bool keep = false;
+    bool failed = false;
+    try {
+        keep = co_await serve();
+    } catch (const std::exception &exception) {
+        failed = true;
+        m_context.metrics.count("requests_failed_by_exception_total");
+        logEvent("request_failed_by_exception",
+                 { { "request", m_admitted.fields.attemptId }, { "detail", exception.what() } });
+    }
     m_handover.cancel(m_context.now());
+    if (failed) {
+        giveBackTarget();
+        if (!m_streamStarted && !m_responding) {
+            keep = co_await writeResponse(internalError());
+        }
+    }
     co_return keep;
 }
 
+/** Ends what serve() has begun at a target or at the decider. */
+void Exchange::giveBackTarget()
+{
+    const state::Time now = m_context.now();
+    if (m_attempt) {
+        m_mayHaveRun = m_mayHaveRun || m_attempt->sent();
+        m_attempt->abort();
+        m_attempt.reset();
+    }
+    m_context.waitingExchanges.erase(m_id);
+    m_context.fleet.withdraw(m_id, now);
+    m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
+}
+
+Response Exchange::internalError() const
+{
+    return m_mayHaveRun
+        ? makeErrorResponse(http::status::bad_gateway, "internal_error")
+        : makeErrorResponse(http::status::service_unavailable, "internal_error", TargetRetryAfter);
+}
+
 asio::awaitable<bool> Exchange::serve()
 {
     m_context.scheduler.retryBudget().recordRequest(m_admitted.service, m_context.now());
@@ -694,6 +730,7 @@
     }
     boost::system::error_code error;
     m_writing = true;
+    m_responding = true;
     co_await http::async_write(m_caller, response, asio::redirect_error(asio::use_awaitable, error));
     m_writing = false;
     logResponse(status, reason);
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -72,6 +72,8 @@
     bool mayTryAnotherTarget(state::Time now) const;
     Response finalResponse(AttemptResult result);
     boost::asio::awaitable<bool> serve();
+    void giveBackTarget();
+    Response internalError() const;
     boost::asio::awaitable<bool> writeResponse(Response response);
     boost::asio::awaitable<bool> finishStream();
     bool keepAlive() const;
@@ -105,6 +107,7 @@
     bool m_quotaCharged = false; /**< the request was charged to the customer's quota */
     bool m_mayHaveRun = false;
     bool m_streamStarted = false;
+    bool m_responding = false; /**< a response that is no stream is being written */
     bool m_writing = false; /**< a write to the caller is in progress */
     coordination::entry::AttemptOutcome m_lastOutcome = coordination::entry::AttemptOutcome::Abandoned;
     State m_state = State::Open;
--- a/src/transport/entry/requestadmission.cpp
+++ b/src/transport/entry/requestadmission.cpp
@@ -69,7 +69,8 @@
             logFailure("call_rejected", failure);
             readable = false;
         });
-    if (!readable) {
+    const bool traceHasContent = m_request.method() == http::verb::trace && !m_request.body().empty();
+    if (!readable || traceHasContent) {
         return makeErrorResponse(http::status::bad_request, "bad_request");
     }
     if (!m_admitted.table) {
