Answer 408 to a request that arrives too slowly

A header or body that did not arrive within its limit ended with a closed connection and no word, so that callers could not know whether it had been taken. 408 says that it has not run. A session that writes its last response, or waits for the caller to close, is no longer ended early by a stopping host, which could reset the connection and lose that response.

--- a/src/transport/entry/callersession.cpp
+++ b/src/transport/entry/callersession.cpp
@@ -61,6 +61,7 @@
         logEvent("caller_session_failed",
                  { { "detail", exception.what() }, { "request_in_hand", idle() ? "no" : "yes" } });
     }
+    m_ending = true;
     co_await lingeringClose(m_socket);
 }
 
@@ -107,9 +108,11 @@
         }
     }
     m_readDeadline.reset();
+    const bool tooSlow = m_readTimedOut && m_receiving;
     m_receiving = false;
     if (error) {
-        co_await rejectRequest(error);
+        m_ending = true;
+        co_await rejectRequest(error, tooSlow);
         co_return std::nullopt;
     }
     co_return parser.release();
@@ -121,24 +124,27 @@
     return m_context.table ? m_context.table->limits() : state::entry::CallerLimits();
 }
 
-/** Sends an error response to a malformed request; does nothing if the connection has ended. */
-asio::awaitable<void> CallerSession::rejectRequest(const boost::system::error_code &error)
+/** Sends an error response to a malformed request or one that arrives too slowly; does nothing if the connection has
+ * ended. */
+asio::awaitable<void> CallerSession::rejectRequest(const boost::system::error_code &error, bool tooSlow)
 {
     static const auto &httpErrors = http::make_error_code(http::error::end_of_stream).category();
     const bool malformed =
         error.category() == httpErrors && error != http::error::end_of_stream && error != http::error::partial_message;
-    if (!malformed) {
+    if (!malformed && !tooSlow) {
         co_return;
     }
     http::status status = http::status::bad_request;
-    if (error == http::error::header_limit) {
+    if (tooSlow) {
+        status = http::status::request_timeout;
+    } else if (error == http::error::header_limit) {
         status = http::status::request_header_fields_too_large;
     } else if (error == http::error::body_limit) {
         status = http::status::payload_too_large;
     }
     logEvent("request_rejected",
              { { "detail", error.message() }, { "status", std::to_string(static_cast<int>(status)) } });
-    Response response = makeErrorResponse(status, "malformed");
+    Response response = makeErrorResponse(status, tooSlow ? "request_too_slow" : "malformed");
     response.keep_alive(false);
     response.prepare_payload();
     boost::system::error_code ignored;
@@ -179,6 +185,7 @@
     // What has arrived is read in this turn of the event loop; only then it is known whether the caller is too slow.
     if (m_readDeadline && now >= *m_readDeadline && !hasUnreadBytes()) {
         m_readDeadline.reset();
+        m_readTimedOut = true;
         recordClose("timeout");
         cancelRead();
     }
--- a/src/transport/entry/callersession.h
+++ b/src/transport/entry/callersession.h
@@ -29,7 +29,7 @@
     /** Returns whether no request has begun to arrive and none is being served. */
     bool idle() const
     {
-        return !m_exchange && !m_receiving && !hasUnreadBytes();
+        return !m_exchange && !m_receiving && !m_ending && !hasUnreadBytes();
     }
 
     /** Ends the connection if no request is being received or served. */
@@ -44,7 +44,7 @@
     static std::string_view nameOf(ReadPhase phase);
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<std::optional<Request>> readRequest();
-    boost::asio::awaitable<void> rejectRequest(const boost::system::error_code &error);
+    boost::asio::awaitable<void> rejectRequest(const boost::system::error_code &error, bool tooSlow);
     void watchForDisconnect();
     state::entry::CallerLimits currentLimits() const;
     void setReadDeadline(ReadPhase phase, state::Duration timeout);
@@ -59,6 +59,8 @@
     std::optional<state::Time> m_readDeadline;
     ReadPhase m_readPhase = ReadPhase::FirstByte;
     state::Time m_readPhaseSince{};
+    bool m_readTimedOut = false;
+    bool m_ending = false; /**< the last response is being written, or the connection closed after it */
     bool m_receiving = false; /**< a request has begun to arrive */
     bool m_watching = false; /**< watchForDisconnect() waits for readable bytes */
 };
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -149,9 +149,8 @@
 
 Response Exchange::internalError() const
 {
-    return m_mayHaveRun
-        ? makeErrorResponse(http::status::bad_gateway, "internal_error")
-        : makeErrorResponse(http::status::service_unavailable, "internal_error", TargetRetryAfter);
+    return m_mayHaveRun ? makeErrorResponse(http::status::bad_gateway, "internal_error")
+                        : makeErrorResponse(http::status::service_unavailable, "internal_error", TargetRetryAfter);
 }
 
 asio::awaitable<bool> Exchange::serve()
--- a/tests/transport/entry/testrequestsinhand.cpp
+++ b/tests/transport/entry/testrequestsinhand.cpp
@@ -262,3 +262,15 @@
     EntryFixture fixture({ target.port() });
     CHECK(fixture.call("/unknown/", "a1", "HEAD").ends_with("\r\n\r\n"));
 }
+
+// Guards against LOST: a request that arrives too slowly was ended without a word.
+TEST_CASE("a request that arrives too slowly gets 408", "[entry][host][unanswered]")
+{
+    ScriptedTarget target([](int, const std::string &, BlockingConnection &) {});
+    EntryFixture fixture({ target.port() });
+    BlockingConnection connection(fixture.settings().callers.port);
+    connection.write("GET " + std::string(LookupPath) + "x HTTP/1.1\r\nHost: a.exam");
+    std::this_thread::sleep_for(milliseconds(200));
+    fixture.clock().advance(std::chrono::seconds(4)); // The limit is 3 s.
+    CHECK(connection.readToEnd().starts_with("HTTP/1.1 408 "));
+}
