Log the identity of a request with its attempts

The logs could not tell whether two attempts after which targets crashed belong to the same request: each try of a caller has its own id, and no line names path or content.

XXH3, which the hosts use for other hashes, was ruled out: it has no secret here, so that a customer could construct a request with the identity of another customer's one.

--- a/src/coordination/entry/crashsuspects.h
+++ b/src/coordination/entry/crashsuspects.h
@@ -19,6 +19,15 @@
 /** Returns a number that identifies the targets of @p service with @p softwareVersion in messages between hosts. */
 std::uint32_t buildHash(std::string_view service, std::string_view softwareVersion);
 
+/** Bit of the numbers that stand for whole requests; it is clear in those that stand for parts of prompts. */
+constexpr std::uint64_t RequestSuspectBit = std::uint64_t{ 1 } << 63U;
+
+/** Returns the number that stands for all requests with the content of @p hash; no part of a prompt has it. */
+constexpr std::uint64_t requestSuspect(std::uint64_t hash)
+{
+    return hash | RequestSuspectBit;
+}
+
 /** Request that a crash of its target broke before its answer had begun. */
 struct BrokenRequest
 {
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <span>
 #include <utility>
 
 namespace sapphirecove::transport::entry {
@@ -90,6 +91,12 @@
     return "unknown";
 }
 
+/** Returns the identity of @p request, or nothing if it has none. */
+std::span<const std::uint64_t> identityOf(const AdmittedRequest &request)
+{
+    return request.identity ? std::span(&*request.identity, 1) : std::span<const std::uint64_t>();
+}
+
 } // namespace
 
 Exchange::Exchange(ServingContext &context, asio::ip::tcp::socket &caller, Request request, state::Time arrived)
@@ -269,6 +276,7 @@
                    { "route", m_admitted.route->name },
                    { "service", m_admitted.service },
                    { "reason", std::string(reason) },
+                   { "identity", describeParts(identityOf(m_admitted)) },
                    { "may_have_run", m_mayHaveRun ? "yes" : "no" },
                    { "waited_ms", milliseconds(m_context.now() - m_arrived) },
                    { "retry_after_ms", milliseconds(m_decision->retryAfter) },
@@ -411,6 +419,7 @@
                { "target_limit", describeLimit(m_context.scheduler.limits().find(decision.targetHash), now) },
                { "decider_limit", describeRate(decision.targetLimit) },
                { "expected_first_ms", std::to_string(static_cast<int>(decision.expectedFirstMs)) },
+               { "identity", describeParts(identityOf(m_admitted)) },
                { "parts", describeParts(m_admitted.fields.promptParts) },
                { "trial", decision.isTrial ? "yes" : "no" },
                { "waited_ms", milliseconds(now - m_arrived) },
@@ -495,6 +504,7 @@
                { "outcome", std::string(nameOf(result.outcome)) },
                { "may_have_run", result.mayHaveRun ? "yes" : "no" },
                { "events", std::to_string(result.events) },
+               { "identity", describeParts(identityOf(m_admitted)) },
                { "parts", describeParts(m_admitted.fields.promptParts) },
                { "detail", result.detail } });
 }
--- a/src/transport/entry/requestadmission.cpp
+++ b/src/transport/entry/requestadmission.cpp
@@ -1,6 +1,8 @@
 #include "transport/entry/requestadmission.h"
 
 #include "coordination/entry/confirmation.h"
+#include "coordination/entry/crashsuspects.h"
+#include "protocol/requesthash.h"
 #include "transport/beaststring.h"
 #include "transport/entry/format.h"
 #include "transport/log.h"
@@ -96,6 +98,7 @@
         return refusal;
     }
     chooseService();
+    identify();
     return std::nullopt;
 }
 
@@ -169,4 +172,22 @@
     m_admitted.model = service != nullptr && service->modelEngine;
 }
 
+/** Computes what tells whether two requests are the same, here and at other hosts, however the body is framed. */
+void RequestAdmission::identify()
+{
+    state::handleFailure(
+        [&]() -> state::Result<void> {
+            BOOST_LEAF_AUTO(hash,
+                            protocol::requestHash(toView(m_request.method_string()),
+                                                  toView(m_request.target()),
+                                                  m_admitted.customer,
+                                                  m_request.body()));
+            m_admitted.identity = coordination::entry::requestSuspect(hash);
+            return {};
+        },
+        [](const state::Failure &failure) {
+            logFailure("request_not_identified", failure);
+        });
+}
+
 } // namespace sapphirecove::transport::entry
--- a/src/transport/entry/requestadmission.h
+++ b/src/transport/entry/requestadmission.h
@@ -3,6 +3,7 @@
 #include "transport/entry/responses.h"
 #include "transport/entry/servingcontext.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,6 +21,7 @@
     std::string service;
     bool model = false; /**< the service consists of model engines */
     double cost = 0; /**< in the unit of the customer's quota */
+    std::optional<std::uint64_t> identity; /**< see requestSuspect(); none if it cannot be computed */
     state::Time deadline{}; /**< earlier end of the route's timeout and the caller's deadline */
 };
 
@@ -38,6 +40,7 @@
     std::optional<Response> checkStopping() const;
     std::optional<Response> checkCustomer();
     void chooseService();
+    void identify();
 
     ServingContext &m_context;
     const Request &m_request;
