Add failing tests: requests that crash targets

- simulated fleets over 12 minutes: trials of a blocked request are retries as well, and four reach targets after the third crash.
- two hosts that tell each other their evidence 300 times, with 15 ms on the way: an answer from before three crashes clears them, as its age leaves out the time on the way.

The scripted target can now end before it sends a byte.

--- a/tests/coordination/entry/testcrashsuspects.cpp
+++ b/tests/coordination/entry/testcrashsuspects.cpp
@@ -241,6 +241,27 @@
     CHECK_FALSE(second.isBlocked(Parts{ Shared }, Build));
 }
 
+// Guards against BUDGET: messages take time, and an answer that hosts tell each other again seems to become later.
+TEST_CASE("an answer that hosts pass on many times does not clear later crashes", "[entry][crash]")
+{
+    CrashSuspects first(1);
+    CrashSuspects second(2);
+    crash(first, 9, { Deadly }, Start);
+    first.answered(Build, Parts{ Deadly }, Start + milliseconds(100));
+    state::Time now = crashes(first, 3, { Deadly }, Start + milliseconds(200));
+    constexpr state::Duration delay = milliseconds(15);
+    for (int exchange = 0; exchange < 300; ++exchange) {
+        const auto forth = first.shares(now);
+        now += delay;
+        second.merge(forth, now);
+        const auto back = second.shares(now);
+        now += delay;
+        first.merge(back, now);
+    }
+    CHECK(first.isBlocked(Parts{ Deadly }, Build));
+    CHECK(second.isBlocked(Parts{ Deadly }, Build));
+}
+
 TEST_CASE("hosts that exchange their evidence in any order come to the same blocks", "[entry][crash][random]")
 {
     for (std::uint32_t seed = 1; seed <= 200; ++seed) {
--- a/tests/coordination/entry/testfleetcrashes.cpp
+++ b/tests/coordination/entry/testfleetcrashes.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-/** Terms of the users' rule BUDGET. */
+/** Terms of the users' rule BUDGET, for a part of prompts and for a whole request. */
 constexpr std::size_t CrashesToLearn = 5;
+constexpr std::size_t RequestCrashesToLearn = 3;
 constexpr std::size_t AllowedAfter = 3;
 constexpr state::Duration ContactTime = seconds(4);
 
@@ -22,6 +23,10 @@
 constexpr std::uint64_t Deadly = 0xdead;
 constexpr std::uint64_t Shared = 0x5a;
 
+/** Highest bit of a number that stands for a whole request and not for a part of a prompt. */
+constexpr std::uint64_t RequestBit = std::uint64_t{ 1 } << 63U;
+constexpr std::uint64_t DeadlyRequest = RequestBit | 0xdead;
+
 /** Fleet that gets sound requests and requests with a deadly part; all have the same first part. */
 class CrashScenario
 {
@@ -31,7 +36,7 @@
         , m_fleet(options)
         , m_random(options.seed * 7919 + 1)
     {
-        m_fleet.setDeadlyParts({ Deadly });
+        m_fleet.setDeadlyParts({ Deadly, DeadlyRequest });
         m_fleet.runUntil(Start + Settling);
     }
 
@@ -55,26 +60,50 @@
         }
     }
 
+    /** Lets sound requests, each another one, and the deadly request arrive at random hosts; all have @p parts. */
+    void loadRequests(state::Duration duration,
+                      int soundPerSecond,
+                      state::Duration deadlyInterval,
+                      const std::vector<std::uint64_t> &parts)
+    {
+        const state::Time end = m_fleet.now() + duration;
+        std::uniform_int_distribution<int> host(0, m_options.hosts - 1);
+        state::Time nextDeadly = m_fleet.now();
+        const auto withParts = [&parts](std::uint64_t request) {
+            std::vector<std::uint64_t> result{ request };
+            result.insert(result.end(), parts.begin(), parts.end());
+            return result;
+        };
+        while (m_fleet.now() < end) {
+            submit(host(m_random), withParts(RequestBit | (0x1000000 + ++m_lastRequest)), milliseconds(600));
+            if (m_fleet.now() >= nextDeadly) {
+                submit(host(m_random), withParts(DeadlyRequest), milliseconds(600));
+                nextDeadly = m_fleet.now() + deadlyInterval;
+            }
+            m_fleet.runUntil(m_fleet.now() + state::Duration(seconds(1)) / soundPerSecond);
+        }
+    }
+
     std::uint64_t submit(int host, std::vector<std::uint64_t> parts, state::Duration work)
     {
         ScheduledRequest request = makeRequest(0, 1, 600, m_fleet.now());
         request.latencyTarget = seconds(1);
         request.deadline = m_fleet.now() + seconds(10);
         request.parts = std::move(parts);
-        const bool isDeadly = request.parts.back() == Deadly;
+        const bool isDeadly = request.parts.back() == Deadly || request.parts.front() == DeadlyRequest;
         const std::uint64_t id = m_fleet.submit(host, std::move(request), work);
         (isDeadly ? m_deadly : m_sound).push_back(id);
         return id;
     }
 
     /** Requests that reached targets later than the rule allows for the first ones. */
-    std::size_t lateArrivals() const
+    std::size_t lateArrivals(std::size_t crashesToLearn = CrashesToLearn) const
     {
         const auto &crashes = m_fleet.deadlyCrashes();
-        if (crashes.size() < CrashesToLearn) {
+        if (crashes.size() < crashesToLearn) {
             return 0;
         }
-        const state::Time learned = crashes[CrashesToLearn - 1] + ContactTime;
+        const state::Time learned = crashes[crashesToLearn - 1] + ContactTime;
         const auto &arrivals = m_fleet.deadlyArrivals();
         return static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [learned](state::Time at) {
             return at > learned;
@@ -106,6 +135,7 @@
     std::mt19937 m_random;
     std::vector<std::uint64_t> m_sound;
     std::vector<std::uint64_t> m_deadly;
+    std::uint64_t m_lastRequest = 0;
 };
 
 } // namespace
@@ -125,6 +155,31 @@
     CHECK(scenario.wronglyRefused() == 0);
 }
 
+// Guards against BUDGET: a request that comes again and again gets a trial after each quarantine.
+TEST_CASE("a request that crashes targets reaches few of them however long it comes", "[entry][fleet][crash]")
+{
+    const auto options =
+        GENERATE(SimulatedFleet::Options{ 6, 9, 12, 0, 3, 0 }, SimulatedFleet::Options{ 6, 3, 6, 0.05, 4, 0 });
+    const auto parts = GENERATE(std::vector<std::uint64_t>{}, std::vector<std::uint64_t>{ Shared, 7 });
+    CrashScenario scenario(options);
+    scenario.loadRequests(std::chrono::minutes(12), 2, seconds(4), parts);
+    CHECK(scenario.lateArrivals(RequestCrashesToLearn) <= AllowedAfter);
+    CHECK(scenario.deadlyRefused() > 0);
+    CHECK(scenario.wronglyRefused() == 0);
+}
+
+// Guards against BUDGET: of hundreds of hosts, hardly any sees a request twice.
+TEST_CASE("a large fleet stops sending a request that crashes targets", "[entry][fleet][crash]")
+{
+    CrashScenario scenario({ 195, 60, 8, 0.01, 5, 0 });
+    scenario.loadRequests(seconds(1), 200, std::chrono::hours(1), {});
+    scenario.loadRequests(seconds(6), 200, milliseconds(200), {});
+    CHECK(scenario.lateArrivals(RequestCrashesToLearn) == 0);
+    CHECK(scenario.fleet().deadlyCrashes().size() <= RequestCrashesToLearn + AllowedAfter);
+    CHECK(scenario.deadlyRefused() > 0);
+    CHECK(scenario.wronglyRefused() == 0);
+}
+
 // Guards against a verdict that only one host has: it dies, or each request is decided by another one.
 TEST_CASE("what a decider knows of deadly parts survives it", "[entry][fleet][crash]")
 {
--- a/tests/transport/entry/crashingtarget.h
+++ b/tests/transport/entry/crashingtarget.h
@@ -7,14 +7,16 @@
 namespace sapphirecove::tests::entry {
 
 /**
- * Target that ends with all its connections once it begins to answer a request whose header contains a given text, and
+ * Target that ends with all its connections once it begins to run a request that contains all the given texts, and
  * streams one event to any other request.
  */
 class CrashingTarget
 {
 public:
-    explicit CrashingTarget(std::string deadlyText)
-        : m_deadlyText(std::move(deadlyText))
+    /** If @p beginsAnswer, the target sends the header of its answer before it ends. */
+    explicit CrashingTarget(std::vector<std::string> deadlyTexts, bool beginsAnswer = true)
+        : m_deadlyTexts(std::move(deadlyTexts))
+        , m_beginsAnswer(beginsAnswer)
         , m_acceptor(std::in_place, m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
         , m_port(m_acceptor->local_endpoint().port())
         , m_thread([this] {
@@ -56,17 +58,23 @@
                 return;
             }
             const std::string request = connection.readRequest();
-            if (request.find(m_deadlyText) != std::string::npos) {
+            const bool isDeadly = std::all_of(m_deadlyTexts.begin(), m_deadlyTexts.end(), [&](const auto &text) {
+                return request.find(text) != std::string::npos;
+            });
+            if (isDeadly) {
                 m_crashed = true;
                 m_acceptor.reset();
-                connection.write(head);
+                if (m_beginsAnswer) {
+                    connection.write(head);
+                }
                 return;
             }
             connection.write(std::string(head) + "16\r\nid: 1\ndata: answered\n\n\r\n0\r\n\r\n");
         }
     }
 
-    std::string m_deadlyText;
+    std::vector<std::string> m_deadlyTexts;
+    bool m_beginsAnswer;
     boost::asio::io_context m_context;
     std::optional<tcp::acceptor> m_acceptor;
     std::uint16_t m_port;
--- a/tests/transport/entry/testcrashingparts.cpp
+++ b/tests/transport/entry/testcrashingparts.cpp
@@ -21,7 +21,7 @@
     {
         std::vector<std::uint16_t> ports;
         for (std::size_t i = 0; i < targets; ++i) {
-            m_targets.push_back(std::make_unique<CrashingTarget>(std::string(DeadlyPart)));
+            m_targets.push_back(std::make_unique<CrashingTarget>(std::vector{ std::string(DeadlyPart) }));
             ports.push_back(m_targets.back()->port());
         }
         m_host = std::make_unique<EntryFixture>(ports);
