Block requests that crash targets

Cause: only parts of prompts were suspects. A request without them accused nobody: hosts did not even ask whether its target had crashed. A request with parts was held by them only as long as no sound request with the same part was answered, and one that was unblocked in this way crashed three more targets. Trials of a blocked request are retries as well, and there were up to five.

A request is now one more part of itself in CrashSuspects, by the identity that the logs have: the same evidence, acquittal, sharing, trials, storage and expiry, and the same messages. A part that comes with one request only is blocked together with that request only. A whole request gets two trials. Every broken attempt asks whether its target refuses connections. As a crash now makes each request that it broke a suspect, what follows from evidence is no longer computed anew for all suspects at each change.

Sound requests of the same path, caller or subject are answered, another customer's equal request too.

--- a/src/coordination/entry/crashsuspects.cpp
+++ b/src/coordination/entry/crashsuspects.cpp
@@ -25,6 +25,12 @@
 /** Most doublings of the quarantine. */
 constexpr std::size_t MaxDoublings = 5;
 
+/**
+ * Crashes at other requests from which on a part is to blame beside a request that crashes targets by itself. One may
+ * have any cause.
+ */
+constexpr std::size_t CrashesBesideRequest = 2;
+
 /** Time after which another trial may be sent if the outcome of one remains unknown: the longest wait of callers. */
 constexpr state::Duration TrialTimeout = std::chrono::seconds(30);
 
@@ -34,12 +40,18 @@
 /** Time for which answers are remembered; crashes before them that arrive later do not count. */
 constexpr state::Duration KeepAnswers = std::chrono::minutes(2);
 
+/** Interval at which evidence that is too old is looked for. */
+constexpr state::Duration ExpireInterval = std::chrono::seconds(1);
+
 /** Accuracy of the time of the last answer, as parts that many requests share are answered all the time. */
 constexpr state::Duration AnswerResolution = std::chrono::seconds(1);
 
 /** Most suspects that a host remembers; one crash adds some dozens. */
 constexpr std::size_t MaxSuspects = 4096;
 
+/** Suspects that are dropped at once when there are too many, as choosing them takes a look at all. */
+constexpr std::size_t DroppedAtOnce = MaxSuspects / 8;
+
 /** Most parts of one request that a crash accuses, so that long lists of made-up parts cost little. */
 constexpr std::size_t MaxPartsPerRequest = 64;
 
@@ -101,7 +113,10 @@
             known->second.held = std::min(known->second.held, held);
             keepCommon(known->second.companions, companions);
         } else if (crashes.size() < MaxCrashesPerPart) {
-            companions.resize(std::min(companions.size(), MaxCompanions));
+            // The largest numbers are kept, so that the request itself is among them.
+            companions.erase(companions.begin(),
+                             companions.end()
+                                 - static_cast<std::ptrdiff_t>(std::min(companions.size(), MaxCompanions)));
             crashes[{ request.target, m_self }] = { request.build, 1, now, held, std::move(companions) };
         }
     }
@@ -158,7 +173,8 @@
 {
     const state::Time at = now - std::chrono::milliseconds(evidence.ageMs);
     if (evidence.target == 0) {
-        if (now - at > KeepAnswers) {
+        // An old answer still unblocks a part at a host that hears of it late.
+        if (now - at > (m_blocked.contains(evidence.part) ? KeepBlocked : KeepAnswers)) {
             return false;
         }
         Suspect &suspect = m_suspects[evidence.part];
@@ -174,6 +190,7 @@
     if (found != m_suspects.end()) {
         const auto answer = found->second.answered.find(evidence.build);
         if (answer != found->second.answered.end() && at <= answer->second) {
+            found->second.contested = true;
             return false;
         }
     }
@@ -246,7 +263,7 @@
 /** Returns when the next trial of a blocked part is due. */
 state::Time CrashSuspects::trialAt(std::uint64_t part, const Blocked &blocked) const
 {
-    if (blocked.crashes >= NoTrialsFrom) {
+    if (blocked.crashes >= (isRequestSuspect(part) ? NoRequestTrialsFrom : NoTrialsFrom)) {
         return blocked.lastCrash + KeepBlocked;
     }
     const std::size_t doublings = std::min(blocked.crashes - std::min(blocked.crashes, BlockAfter), MaxDoublings);
@@ -284,43 +301,57 @@
 
 std::vector<PartEvidence> CrashSuspects::shares(state::Time now) const
 {
-    std::vector<std::uint64_t> parts;
-    for (const auto &[part, accused] : m_accused) {
-        parts.push_back(part);
+    std::vector<PartEvidence> result = sharedCrashes(now);
+    // First the answers to parts of which another host has outdated crashes.
+    std::size_t answers = 0;
+    for (const bool contested : { true, false }) {
+        for (const auto &[part, suspect] : m_suspects) {
+            if (suspect.contested != contested) {
+                continue;
+            }
+            for (const auto &[build, at] : suspect.answered) {
+                if (answers < MaxSharedAnswers) {
+                    result.push_back({ part, build, 0, 0, 0, ageMs(at, now), 0, {} });
+                    ++answers;
+                }
+            }
+        }
     }
+    return result;
+}
+
+/** Returns the crashes that messages have room for. */
+std::vector<PartEvidence> CrashSuspects::sharedCrashes(state::Time now) const
+{
     // Blocked parts first, then those that are next to be blocked; the order is the same on all hosts.
-    std::sort(parts.begin(), parts.end(), [this](std::uint64_t a, std::uint64_t b) {
-        if (m_blocked.contains(a) != m_blocked.contains(b)) {
-            return m_blocked.contains(a);
-        }
-        const Accused &first = m_accused.at(a);
-        const Accused &second = m_accused.at(b);
-        if (first.separate != second.separate) {
-            return first.separate > second.separate;
-        }
-        return first.requestsPerCrash != second.requestsPerCrash ? first.requestsPerCrash < second.requestsPerCrash
-                                                                 : a < b;
-    });
+    using Rank = std::pair<std::tuple<bool, std::ptrdiff_t, double>, std::uint64_t>;
+    std::vector<Rank> ranks;
+    ranks.reserve(m_accused.size());
+    for (const auto &[part, accused] : m_accused) {
+        const auto separate = static_cast<std::ptrdiff_t>(accused.separate);
+        ranks.push_back({ { !m_blocked.contains(part), -separate, accused.requestsPerCrash }, part });
+    }
+    const auto considered = ranks.begin() + static_cast<std::ptrdiff_t>(std::min(ranks.size(), MaxSharedCrashes));
+    std::partial_sort(ranks.begin(), considered, ranks.end());
     std::vector<PartEvidence> result;
-    for (const std::uint64_t part : parts) {
-        const auto evidence = evidenceOf(part, now);
+    for (auto rank = ranks.begin(); rank != considered; ++rank) {
+        const auto evidence = evidenceOf(rank->second, now);
         if (result.size() + evidence.size() > MaxSharedCrashes) {
             break;
         }
         result.insert(result.end(), evidence.begin(), evidence.end());
     }
-    std::size_t answers = 0;
-    for (const auto &[part, suspect] : m_suspects) {
-        for (const auto &[build, at] : suspect.answered) {
-            if (answers < MaxSharedAnswers) {
-                result.push_back({ part, build, 0, 0, 0, ageMs(at, now), 0, {} });
-                ++answers;
-            }
-        }
-    }
     return result;
 }
 
+std::uint32_t CrashSuspects::digest() const
+{
+    if (!m_digest) {
+        m_digest = digestOf(sharedCrashes({}));
+    }
+    return *m_digest;
+}
+
 std::optional<std::vector<PartEvidence>> CrashSuspects::evidenceToStore(state::Time now) const
 {
     if (m_blockedDigest == m_storedDigest) {
@@ -331,17 +362,19 @@
 
 void CrashSuspects::expire(state::Time now)
 {
-    if (m_suspects.empty()) {
+    if (m_suspects.empty() || now - m_expired < ExpireInterval) {
         return;
     }
+    m_expired = now;
     std::vector<std::uint64_t> parts;
     for (auto &[part, suspect] : m_suspects) {
         const state::Duration keep = m_blocked.contains(part) ? KeepBlocked : KeepCrashes;
         std::size_t dropped = std::erase_if(suspect.crashes, [&](const auto &entry) {
             return now - entry.second.at > keep;
         });
+        const state::Duration keepAnswers = suspect.wasBlocked ? KeepBlocked : KeepAnswers;
         dropped += std::erase_if(suspect.answered, [&](const auto &entry) {
-            return now - entry.second > KeepAnswers;
+            return now - entry.second > keepAnswers;
         });
         if (dropped > 0) {
             parts.push_back(part);
@@ -365,26 +398,39 @@
 /** Updates all that follows from the evidence about @p parts. */
 void CrashSuspects::changed(std::span<const std::uint64_t> parts)
 {
+    bool affectsBlocked = false;
     for (const std::uint64_t part : parts) {
-        const auto found = m_suspects.find(part);
-        if (found == m_suspects.end() || found->second.crashes.empty()) {
-            m_accused.erase(part);
-        } else {
-            m_accused.try_emplace(part);
-        }
-        if (found != m_suspects.end() && found->second.crashes.empty() && found->second.answered.empty()) {
+        affectsBlocked = updateAccused(part) || affectsBlocked;
+    }
+    m_digest.reset();
+    // Most broken requests never crash a second target; they leave what is blocked as it is.
+    if (affectsBlocked) {
+        updateBlocked();
+    }
+}
+
+/** Updates what the evidence accuses @p part of; returns whether blocked parts may depend on it. */
+bool CrashSuspects::updateAccused(std::uint64_t part)
+{
+    const auto found = m_suspects.find(part);
+    const bool wasRepeated = m_repeated.erase(part) > 0;
+    if (found == m_suspects.end() || found->second.crashes.empty()) {
+        if (found != m_suspects.end() && found->second.answered.empty()) {
             m_suspects.erase(found);
         }
+        // It may have been a companion of a blocked part.
+        return m_accused.erase(part) > 0 && (wasRepeated || !m_blocked.empty());
     }
-    // The companions of other parts depend on whether these were answered.
-    for (auto &[part, accused] : m_accused) {
-        accused = accusedOf(m_suspects.at(part));
+    Accused &accused = m_accused[part];
+    accused = accusedOf(found->second);
+    if (accused.separate >= BlockAfter) {
+        m_repeated.insert(part);
+        return true;
     }
-    updateBlocked();
-    updateDigests();
+    return wasRepeated;
 }
 
-CrashSuspects::Accused CrashSuspects::accusedOf(const Suspect &suspect) const
+CrashSuspects::Accused CrashSuspects::accusedOf(const Suspect &suspect)
 {
     Accused accused;
     bool first = true;
@@ -401,9 +447,6 @@
         }
         first = false;
     }
-    std::erase_if(accused.companions, [this](std::uint64_t part) {
-        return wasAnswered(part);
-    });
     accused.separate = separateCount(accused.crashes);
     accused.requestsPerCrash = static_cast<double>(accused.requests) / static_cast<double>(accused.crashes.size());
     return accused;
@@ -456,15 +499,18 @@
 {
     Crashes crashes = accused.crashes;
     Crashes withoutSubsets = accused.crashes;
-    for (const auto &[otherPart, other] : m_accused) {
-        if (otherPart == part || other.separate < BlockAfter) {
+    bool oneRequestExplains = false;
+    for (const std::uint64_t otherPart : m_repeated) {
+        if (otherPart == part) {
             continue;
         }
-        const auto isCommon = [&other = other](const auto &entry) {
+        const Accused &other = m_accused.at(otherPart);
+        const auto isCommon = [&other](const auto &entry) {
             return other.crashes.contains(entry.first);
         };
         const bool isSubset = other.requests < accused.requests
             && std::binary_search(other.companions.begin(), other.companions.end(), part);
+        oneRequestExplains = oneRequestExplains || (isSubset && isRequestSuspect(otherPart));
         const bool explained = explains(otherPart, other, accused);
         if (explained) {
             std::erase_if(crashes, isCommon);
@@ -474,23 +520,29 @@
         }
     }
     // If some of the requests with the part explain all its crashes, the others are not to blame.
-    return withoutSubsets.empty() ? 0 : separateCount(crashes);
+    const std::size_t needed = oneRequestExplains ? CrashesBesideRequest : 1;
+    return separateCount(withoutSubsets) < needed ? 0 : separateCount(crashes);
 }
 
 void CrashSuspects::updateBlocked()
 {
     std::unordered_map<std::uint64_t, Blocked> blocked;
-    for (const auto &[part, accused] : m_accused) {
-        if (accused.separate < BlockAfter || unexplainedCount(part, accused) < BlockAfter) {
+    for (const std::uint64_t part : m_repeated) {
+        const Accused &accused = m_accused.at(part);
+        if (unexplainedCount(part, accused) < BlockAfter) {
             continue;
         }
         Blocked &entry = blocked[part];
         entry.crashes = accused.crashes.size();
         entry.companions = accused.companions;
+        std::erase_if(entry.companions, [this](std::uint64_t companion) {
+            return wasAnswered(companion);
+        });
         for (const auto &[target, crash] : accused.crashes) {
             entry.lastCrash = std::max(entry.lastCrash, crash.at);
         }
-        const Suspect &suspect = m_suspects.at(part);
+        Suspect &suspect = m_suspects.at(part);
+        suspect.wasBlocked = true;
         for (const auto &[key, crash] : suspect.crashes) {
             entry.builds.insert(crash.build);
         }
@@ -512,35 +564,34 @@
         }
     }
     m_blocked = std::move(blocked);
-}
-
-void CrashSuspects::updateDigests()
-{
-    m_digest = digestOf(shares({}));
     m_blockedDigest = digestOf(blockedEvidence({}));
 }
 
 /** Drops the suspects with the fewest and oldest crashes if there are too many. */
 void CrashSuspects::makeRoom()
 {
-    while (m_suspects.size() > MaxSuspects) {
-        const auto latestCrash = [](const Suspect &suspect) {
-            state::Time latest{};
-            for (const auto &[key, crash] : suspect.crashes) {
-                latest = std::max(latest, crash.at);
-            }
-            return latest;
-        };
-        const auto least = std::min_element(m_suspects.begin(), m_suspects.end(), [&](const auto &a, const auto &b) {
-            const auto key = [&](const auto &entry) {
-                return std::tuple(
-                    m_blocked.contains(entry.first), entry.second.crashes.size(), latestCrash(entry.second));
-            };
-            return key(a) < key(b);
-        });
-        m_accused.erase(least->first);
-        m_suspects.erase(least);
+    if (m_suspects.size() <= MaxSuspects) {
+        return;
     }
+    using Rank = std::pair<std::tuple<bool, std::size_t, state::Time>, std::uint64_t>;
+    std::vector<Rank> ranks;
+    ranks.reserve(m_suspects.size());
+    for (const auto &[part, suspect] : m_suspects) {
+        state::Time latest{};
+        for (const auto &[key, crash] : suspect.crashes) {
+            latest = std::max(latest, crash.at);
+        }
+        ranks.push_back({ { m_blocked.contains(part), suspect.crashes.size(), latest }, part });
+    }
+    const std::size_t dropped = m_suspects.size() - MaxSuspects + DroppedAtOnce;
+    std::nth_element(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(dropped), ranks.end());
+    for (const Rank &rank : std::span(ranks).first(dropped)) {
+        m_accused.erase(rank.second);
+        m_repeated.erase(rank.second);
+        m_suspects.erase(rank.second);
+    }
+    m_digest.reset();
+    updateBlocked();
 }
 
 } // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/crashsuspects.h
+++ b/src/coordination/entry/crashsuspects.h
@@ -28,17 +28,32 @@
     return hash | RequestSuspectBit;
 }
 
+/** Returns the number that stands for @p part of a prompt; no whole request has it. */
+constexpr std::uint64_t promptPartSuspect(std::uint64_t part)
+{
+    return part & ~RequestSuspectBit;
+}
+
+/** Returns whether @p suspect stands for a whole request. */
+constexpr bool isRequestSuspect(std::uint64_t suspect)
+{
+    return (suspect & RequestSuspectBit) != 0;
+}
+
 /** Request that a crash of its target broke before its answer had begun. */
 struct BrokenRequest
 {
     std::uint32_t target = 0; /**< hash of the incarnation */
     std::uint32_t build = 0; /**< see buildHash() */
-    std::span<const std::uint64_t> parts; /**< that other requests may share */
+    std::span<const std::uint64_t> parts; /**< see ScheduledRequest::parts */
     state::Time dispatched{};
 };
 
 /**
- * Parts of prompts that are suspected of crashing the targets that answer requests with them.
+ * Parts of prompts, and whole requests that come again, that are suspected of crashing the targets that run them.
+ *
+ * A whole request is one more part of itself: "part" stands for both here, and the numbers tell them apart; see
+ * isRequestSuspect(). A part that comes only with one request is thus blocked together with that request only.
  *
  * A target that crashes takes all its requests along, so that one crash accuses the parts of all of them. A part is
  * blocked once several targets, one after the other, have crashed at requests with it and none has answered one since.
@@ -61,6 +76,12 @@
     /** Crashes from which on a blocked part gets no more trials. */
     static constexpr std::size_t NoTrialsFrom = 8;
 
+    /**
+     * Same for a whole request. Three may reach targets after the third crash; one of them is left for a crash of which
+     * the fleet was not told.
+     */
+    static constexpr std::size_t NoRequestTrialsFrom = 5;
+
     /** Quarantine of a part that was blocked after BlockAfter crashes. */
     static constexpr state::Duration FirstQuarantine = std::chrono::seconds(30);
 
@@ -91,11 +112,8 @@
     /** Returns the time until a request with @p parts may be sent as a trial. */
     state::Duration timeToTrial(std::span<const std::uint64_t> parts, state::Time now) const;
 
-    /** Returns a number that two hosts share if they would send the same evidence. */
-    std::uint32_t digest() const
-    {
-        return m_digest;
-    }
+    /** Returns a number that two hosts share if they would send the same crashes. */
+    std::uint32_t digest() const;
 
     /** Returns the most important evidence, for messages to other hosts. */
     std::vector<PartEvidence> shares(state::Time now) const;
@@ -172,6 +190,8 @@
     {
         std::map<TargetAndObserver, Observation> crashes; /**< since the last answer */
         std::map<std::uint32_t, state::Time> answered; /**< last answer of each build */
+        bool wasBlocked = false; /**< a host that hears late of its answers would block it again */
+        bool contested = false; /**< another host has sent crashes from before an answer */
     };
 
     /** Crash as all observers together know it. */
@@ -190,7 +210,7 @@
         std::size_t separate = 0; /**< crashes one after the other */
         std::uint32_t requests = 0; /**< that crashes broke */
         double requestsPerCrash = 0;
-        std::vector<std::uint64_t> companions; /**< at all crashes; without those that were answered since */
+        std::vector<std::uint64_t> companions; /**< at all crashes */
     };
 
     struct Blocked
@@ -205,15 +225,16 @@
     bool add(const PartEvidence &evidence, state::Time now);
     void answeredAt(Suspect &suspect, std::uint32_t build, state::Time at);
     void changed(std::span<const std::uint64_t> parts);
+    bool updateAccused(std::uint64_t part);
     void updateBlocked();
-    void updateDigests();
     void makeRoom();
-    Accused accusedOf(const Suspect &suspect) const;
+    static Accused accusedOf(const Suspect &suspect);
     bool wasAnswered(std::uint64_t part) const;
     static std::size_t separateCount(const Crashes &crashes);
     static bool explains(std::uint64_t otherPart, const Accused &other, const Accused &accused);
     static bool holds(const Blocked &blocked, std::span<const std::uint64_t> parts);
     std::size_t unexplainedCount(std::uint64_t part, const Accused &accused) const;
+    std::vector<PartEvidence> sharedCrashes(state::Time now) const;
     std::vector<PartEvidence> evidenceOf(std::uint64_t part, state::Time now) const;
     std::vector<PartEvidence> blockedEvidence(state::Time now) const;
     state::Time trialAt(std::uint64_t part, const Blocked &blocked) const;
@@ -221,9 +242,11 @@
     std::uint32_t m_self;
     std::map<std::uint64_t, Suspect> m_suspects; /**< by part */
     std::map<std::uint64_t, Accused> m_accused; /**< suspects with crashes, by part */
+    std::set<std::uint64_t> m_repeated; /**< accused parts with BlockAfter separate crashes */
     std::unordered_map<std::uint64_t, Blocked> m_blocked; /**< by part */
     std::unordered_map<std::uint64_t, state::Time> m_trials; /**< last trial of blocked parts */
-    std::uint32_t m_digest = 0;
+    mutable std::optional<std::uint32_t> m_digest; /**< nothing if the evidence has changed since */
+    state::Time m_expired{}; /**< last time that all evidence was looked through */
     std::uint32_t m_blockedDigest = 0;
     std::optional<std::uint32_t> m_storedDigest = 0; /**< nothing if it is unknown what the store has */
     std::uint64_t m_blockings = 0;
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -48,7 +48,7 @@
     std::uint32_t requests = 0; /**< only grows while the host knows a limit of the target */
 };
 
-/** What a host knows of one part of prompts at targets of one build; see CrashSuspects. */
+/** What a host knows of one part of prompts, or of one request, at targets of one build; see CrashSuspects. */
 struct PartEvidence
 {
     std::uint64_t part = 0;
--- a/src/coordination/entry/scheduledrequest.h
+++ b/src/coordination/entry/scheduledrequest.h
@@ -29,7 +29,7 @@
     double promptTokens = 0;
     std::optional<double> expectedOutputTokens;
     std::vector<std::string> excludedTargets; /**< already tried */
-    std::vector<std::uint64_t> parts; /**< of the prompt, that other requests may share */
+    std::vector<std::uint64_t> parts; /**< which a crash accuses: the request itself, then shared parts of its prompt */
 };
 
 /** Reason why a request is not sent to a target. */
@@ -38,7 +38,7 @@
     Expired, /**< it has waited too long */
     NoTarget, /**< the service has no target */
     OverQuota, /**< the customer has used its quota */
-    CrashesTargets, /**< targets have crashed at requests with the same part of the prompt */
+    CrashesTargets, /**< targets have crashed at the same request, or at requests with the same part of the prompt */
 };
 
 /** Returns the name of @p reason for the log. */
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -229,7 +229,7 @@
     });
 }
 
-/** Returns whether @p target may get @p request: no part of its prompt is blocked there, or a trial is due. */
+/** Returns whether @p target may get @p request: none of its parts is blocked there, or a trial is due. */
 bool Scheduler::mayHold(const TargetLoad &target, const WaitingRequest &request, state::Time now) const
 {
     return !m_suspects.isBlocked(request.parts, target.build()) || m_suspects.trialIsDue(request.parts, now);
@@ -238,10 +238,15 @@
 Decision Scheduler::refuseBlocked(const WaitingRequest &request, state::Time now)
 {
     Decision refusal = refuse(request, RefusalReason::CrashesTargets, now);
-    refusal.retryAfter = std::clamp(m_suspects.timeToTrial(request.parts, now), MinRetryAfter, MaxBlockedRetryAfter);
+    refusal.retryAfter = blockedRetryAfter(request.parts, now);
     return refusal;
 }
 
+state::Duration Scheduler::blockedRetryAfter(std::span<const std::uint64_t> parts, state::Time now) const
+{
+    return std::clamp(m_suspects.timeToTrial(parts, now), MinRetryAfter, MaxBlockedRetryAfter);
+}
+
 Decision Scheduler::dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now)
 {
     Decision decision;
@@ -345,7 +350,7 @@
     m_suspects.crashed({ attempt.targetHash, attempt.build, attempt.parts, attempt.dispatched }, now);
 }
 
-/** Records the parts of running requests whose answer has begun without a crash. */
+/** Acquits the parts of running requests whose answer has begun without a crash. */
 void Scheduler::acquitRunning(state::Time now)
 {
     for (auto &[id, attempt] : m_running) {
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -64,7 +64,7 @@
         return m_limits;
     }
 
-    /** Parts of prompts that are suspected of crashing targets. */
+    /** Requests and parts of prompts that are suspected of crashing targets. */
     CrashSuspects &suspects()
     {
         return m_suspects;
@@ -87,6 +87,9 @@
     /** Queues @p request, or returns a refusal. */
     std::optional<Decision> enqueue(const ScheduledRequest &request, state::Time now);
 
+    /** Returns after which time the caller of a request that is blocked by @p parts may come back. */
+    state::Duration blockedRetryAfter(std::span<const std::uint64_t> parts, state::Time now) const;
+
     /** Removes a waiting request. */
     void withdraw(std::uint64_t id);
 
@@ -127,7 +130,7 @@
     {
         std::uint32_t targetHash = 0;
         std::uint32_t build = 0; /**< of the target, see buildHash() */
-        std::vector<std::uint64_t> parts; /**< of the prompt */
+        std::vector<std::uint64_t> parts; /**< see ScheduledRequest::parts */
         bool acquitted = false; /**< the answer shows that the parts do not crash the target */
         std::string route;
         Work work;
--- a/src/coordination/entry/waitingqueue.h
+++ b/src/coordination/entry/waitingqueue.h
@@ -32,7 +32,7 @@
     state::Time latestOnTimeDispatch{}; /**< latest dispatch that still meets the latency target */
     state::Time expiresAt{}; /**< a dispatch after this is of no use to the caller */
     std::vector<std::string> excludedTargets; /**< already tried */
-    std::vector<std::uint64_t> parts; /**< of the prompt, that other requests may share */
+    std::vector<std::uint64_t> parts; /**< see ScheduledRequest::parts */
 };
 
 /**
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -251,12 +251,13 @@
     }
 }
 
-/** Logs the parts of prompts that are now blocked or no longer blocked. */
+/** Logs the requests and parts of prompts that are now blocked or no longer blocked. */
 void EntryHost::logSuspectChanges()
 {
     for (const auto &change : m_scheduler->suspects().takeChanges()) {
-        m_context.metrics.count(change.blocked ? "parts_blocked_total" : "parts_unblocked_total");
-        logEvent(change.blocked ? "part_blocked" : "part_unblocked",
+        const std::string kind = coordination::entry::isRequestSuspect(change.part) ? "request" : "part";
+        m_context.metrics.count(kind + (change.blocked ? "s_blocked_total" : "s_unblocked_total"));
+        logEvent(kind + (change.blocked ? "_blocked" : "_unblocked"),
                  { { "part", describeParts(std::span(&change.part, 1)) },
                    { "with", describeParts(change.companions) },
                    { "crashes", std::to_string(change.crashes) },
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -13,7 +13,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <span>
 #include <utility>
 
 namespace sapphirecove::transport::entry {
@@ -91,12 +90,6 @@
     return "unknown";
 }
 
-/** Returns the identity of @p request, or nothing if it has none. */
-std::span<const std::uint64_t> identityOf(const AdmittedRequest &request)
-{
-    return request.identity ? std::span(&*request.identity, 1) : std::span<const std::uint64_t>();
-}
-
 } // namespace
 
 Exchange::Exchange(ServingContext &context, asio::ip::tcp::socket &caller, Request request, state::Time arrived)
@@ -240,7 +233,7 @@
     request.expectedOutputTokens = m_admitted.fields.expectedOutputTokens;
     request.excludedTargets = m_triedTargets;
     request.excludedTargets.insert(request.excludedTargets.end(), m_rejectingTargets.begin(), m_rejectingTargets.end());
-    request.parts = m_admitted.fields.promptParts;
+    request.parts = m_admitted.suspects;
     if (!m_quotaCharged) {
         request.customer = m_admitted.customer;
         request.cost = m_admitted.cost;
@@ -276,7 +269,7 @@
                    { "route", m_admitted.route->name },
                    { "service", m_admitted.service },
                    { "reason", std::string(reason) },
-                   { "identity", describeParts(identityOf(m_admitted)) },
+                   { "parts", describeParts(m_admitted.suspects) },
                    { "may_have_run", m_mayHaveRun ? "yes" : "no" },
                    { "waited_ms", milliseconds(m_context.now() - m_arrived) },
                    { "retry_after_ms", milliseconds(m_decision->retryAfter) },
@@ -303,7 +296,7 @@
 {
     const auto &target = decision.target;
     const std::uint32_t build = coordination::entry::buildHash(target.service, target.softwareVersion);
-    return !decision.isTrial && m_context.scheduler.suspects().isBlocked(m_admitted.fields.promptParts, build);
+    return !decision.isTrial && m_context.scheduler.suspects().isBlocked(m_admitted.suspects, build);
 }
 
 /** Turns the decision into a refusal if this host knows that the request crashes targets and the decider did not. */
@@ -315,8 +308,7 @@
     const state::Time now = m_context.now();
     m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
     m_decision->refusal = RefusalReason::CrashesTargets;
-    m_decision->retryAfter =
-        std::max(TargetRetryAfter, m_context.scheduler.suspects().timeToTrial(m_admitted.fields.promptParts, now));
+    m_decision->retryAfter = m_context.scheduler.blockedRetryAfter(m_admitted.suspects, now);
 }
 
 /** Requests another target for a request whose target is silent. The attempt goes on until that one answers. */
@@ -347,7 +339,7 @@
 std::optional<HandoverRequest> Exchange::beginHandover(const Decision &decision)
 {
     const state::Time now = m_context.now();
-    const bool moves = m_state == State::Open && m_attempt && m_attempt->isSilent(now)
+    const bool moves = m_state == State::Open && m_attempt && m_attempt->isSilent(now) && !blockedHere(decision)
         && m_context.scheduler.retryBudget().take(m_admitted.service, m_context.fleet.hosts(now), now);
     if (!moves) {
         return std::nullopt;
@@ -376,7 +368,7 @@
         result.outcome = AttemptOutcome::NotExecuted;
     }
     recordFailure(result, decision.target);
-    if (result.outcome == AttemptOutcome::Broken && !m_admitted.fields.promptParts.empty()) {
+    if (result.outcome == AttemptOutcome::Broken) {
         const protocol::Endpoint endpoint{ decision.target.address, decision.target.port };
         const bool refused = co_await refusesConnections(context.io, endpoint);
         result.outcome = refused ? AttemptOutcome::Crashed : result.outcome;
@@ -419,8 +411,7 @@
                { "target_limit", describeLimit(m_context.scheduler.limits().find(decision.targetHash), now) },
                { "decider_limit", describeRate(decision.targetLimit) },
                { "expected_first_ms", std::to_string(static_cast<int>(decision.expectedFirstMs)) },
-               { "identity", describeParts(identityOf(m_admitted)) },
-               { "parts", describeParts(m_admitted.fields.promptParts) },
+               { "parts", describeParts(m_admitted.suspects) },
                { "trial", decision.isTrial ? "yes" : "no" },
                { "waited_ms", milliseconds(now - m_arrived) },
                { "attempt", std::to_string(m_triedTargets.size()) } });
@@ -484,7 +475,7 @@
 /** Tells a crash of the target from a broken connection, and another incarnation from a refusal. */
 asio::awaitable<void> Exchange::classifyFailure(AttemptResult &result, const state::entry::TargetEntry &entry)
 {
-    if (result.outcome == AttemptOutcome::Broken && !m_admitted.fields.promptParts.empty()) {
+    if (result.outcome == AttemptOutcome::Broken) {
         const protocol::Endpoint endpoint{ entry.address, entry.port };
         const bool refused = co_await refusesConnections(m_context.io, endpoint);
         result.outcome = refused ? AttemptOutcome::Crashed : result.outcome;
@@ -504,8 +495,7 @@
                { "outcome", std::string(nameOf(result.outcome)) },
                { "may_have_run", result.mayHaveRun ? "yes" : "no" },
                { "events", std::to_string(result.events) },
-               { "identity", describeParts(identityOf(m_admitted)) },
-               { "parts", describeParts(m_admitted.fields.promptParts) },
+               { "parts", describeParts(m_admitted.suspects) },
                { "detail", result.detail } });
 }
 
--- a/src/transport/entry/requestadmission.cpp
+++ b/src/transport/entry/requestadmission.cpp
@@ -172,7 +172,7 @@
     m_admitted.model = service != nullptr && service->modelEngine;
 }
 
-/** Computes what tells whether two requests are the same, here and at other hosts, however the body is framed. */
+/** Determines what is to blame if the request crashes a target. It is the same however the body is framed. */
 void RequestAdmission::identify()
 {
     state::handleFailure(
@@ -182,12 +182,16 @@
                                                   toView(m_request.target()),
                                                   m_admitted.customer,
                                                   m_request.body()));
-            m_admitted.identity = coordination::entry::requestSuspect(hash);
+            m_admitted.suspects.push_back(coordination::entry::requestSuspect(hash));
             return {};
         },
         [](const state::Failure &failure) {
             logFailure("request_not_identified", failure);
         });
+    // Messages between hosts may leave out the last ones.
+    for (const std::uint64_t part : m_admitted.fields.promptParts) {
+        m_admitted.suspects.push_back(coordination::entry::promptPartSuspect(part));
+    }
 }
 
 } // namespace sapphirecove::transport::entry
--- a/src/transport/entry/requestadmission.h
+++ b/src/transport/entry/requestadmission.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sapphirecove::transport::entry {
 
@@ -21,7 +22,7 @@
     std::string service;
     bool model = false; /**< the service consists of model engines */
     double cost = 0; /**< in the unit of the customer's quota */
-    std::optional<std::uint64_t> identity; /**< see requestSuspect(); none if it cannot be computed */
+    std::vector<std::uint64_t> suspects; /**< the request itself, then the parts of its prompt; see CrashSuspects */
     state::Time deadline{}; /**< earlier end of the route's timeout and the caller's deadline */
 };
 
--- a/tests/coordination/entry/testcrashsuspects.cpp
+++ b/tests/coordination/entry/testcrashsuspects.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::uint64_t Deadly = 0xdead;
 constexpr std::uint64_t Shared = 0x5a;
+constexpr std::uint64_t DeadlyRequest = requestSuspect(0xdead);
 constexpr std::uint32_t Build = 7;
 constexpr std::uint32_t OtherBuild = 8;
 constexpr state::Duration Held = milliseconds(100);
@@ -212,6 +213,113 @@
     }
 }
 
+// Guards against BUDGET: three retries may reach targets after the third crash, trials among them.
+TEST_CASE("a blocked request gets fewer trials than a part", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    state::Time now = crashes(suspects, 3, { DeadlyRequest, Shared, 0xb }, Start);
+    const Parts parts{ DeadlyRequest, Shared, 0xb };
+    suspects.answered(Build, Parts{ Shared }, now + milliseconds(1));
+    std::size_t trials = 0;
+    const state::Time end = now + std::chrono::hours(5);
+    for (now += seconds(1); now < end; now += seconds(1)) {
+        suspects.expire(now);
+        CHECK(suspects.isBlocked(parts, Build));
+        if (suspects.trialIsDue(parts, now)) {
+            ++trials;
+            suspects.trialStarted(parts, now);
+            crash(suspects, 100 + static_cast<std::uint32_t>(trials), parts, now + Held);
+        }
+    }
+    CHECK(trials == 2);
+}
+
+// Guards against LOST: sound requests share their subject with one that crashes targets, and each comes once.
+TEST_CASE("a part that one request brings to the crashed targets is not blocked without it", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    constexpr std::uint64_t subject = 0xb;
+    const Parts deadly{ DeadlyRequest, Shared, subject };
+    state::Time now = crashes(suspects, 4, deadly, Start);
+    SECTION("nothing else was at these targets")
+    {
+    }
+    SECTION("a sound request was at one of them")
+    {
+        crash(suspects, 2, { requestSuspect(1), Shared, subject }, now);
+    }
+    SECTION("a sound request was at a target that crashed for another reason")
+    {
+        now += seconds(1);
+        crash(suspects, 9, { requestSuspect(1), Shared, subject }, now);
+    }
+    CHECK(suspects.isBlocked(deadly, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ requestSuspect(2), Shared, subject }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ requestSuspect(2), Shared }, Build));
+}
+
+// Guards against BUDGET: the request is held against the part that it shares with others, or the other way round.
+TEST_CASE("a deadly part is blocked although one of its requests came more often", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    const state::Time last = crashes(suspects, 4, { requestSuspect(1), Shared, Deadly }, Start);
+    suspects.answered(Build, Parts{ Shared }, last + milliseconds(1));
+    crash(suspects, 8, { requestSuspect(2), Shared, Deadly }, last + seconds(1));
+    crash(suspects, 9, { requestSuspect(3), Shared, Deadly }, last + seconds(2));
+    CHECK(suspects.isBlocked(Parts{ requestSuspect(4), Shared, Deadly }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ requestSuspect(4), Shared }, Build));
+}
+
+// Guards against LOST: an idempotent request that many callers repeat ran beside a deadly one.
+TEST_CASE("a request that is answered between crashes is not blocked", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    const std::uint64_t sound = requestSuspect(1);
+    for (std::uint32_t target = 1; target <= 5; ++target) {
+        const state::Time now = Start + seconds(target);
+        crash(suspects, target, { DeadlyRequest }, now);
+        crash(suspects, target, { sound }, now);
+        suspects.answered(Build, Parts{ sound }, now + milliseconds(30));
+    }
+    CHECK(suspects.isBlocked(Parts{ DeadlyRequest }, Build));
+    CHECK_FALSE(suspects.isBlocked(Parts{ sound }, Build));
+}
+
+TEST_CASE("a long prompt keeps the request itself among the companions of its parts", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    Parts parts{ DeadlyRequest };
+    for (std::uint64_t part = 1; part <= 30; ++part) {
+        parts.push_back(part);
+    }
+    crashes(suspects, 4, parts, Start);
+    CHECK(suspects.isBlocked(parts, Build));
+    parts.front() = requestSuspect(1);
+    CHECK_FALSE(suspects.isBlocked(parts, Build));
+}
+
+// Guards against LOST: a host that missed the answer, or hears of it minutes later, goes on refusing.
+TEST_CASE("an answer that unblocked a request reaches hosts that still block it", "[entry][crash]")
+{
+    CrashSuspects decider(1);
+    CrashSuspects host(2);
+    const state::Time last = crashes(decider, 3, { DeadlyRequest }, Start);
+    host.merge(decider.shares(last), last);
+    REQUIRE(host.isBlocked(Parts{ DeadlyRequest }, Build));
+    for (std::uint64_t other = 1; other <= 40; ++other) {
+        crash(decider, 100, { other }, last + seconds(1));
+        decider.answered(Build, Parts{ other }, last + seconds(2));
+    }
+    decider.answered(Build, Parts{ DeadlyRequest }, last + seconds(31));
+    const state::Time later = last + std::chrono::minutes(10);
+    decider.expire(later);
+    CHECK(decider.digest() != host.digest());
+    decider.merge(host.shares(later), later);
+    CHECK_FALSE(decider.isBlocked(Parts{ DeadlyRequest }, Build));
+    host.merge(decider.shares(later), later);
+    CHECK_FALSE(host.isBlocked(Parts{ DeadlyRequest }, Build));
+}
+
 TEST_CASE("a block ends when the part has not crashed a target for hours", "[entry][crash]")
 {
     CrashSuspects suspects(1);
@@ -326,6 +434,27 @@
     CHECK(suspects.shares(now).size() <= 64);
 }
 
+// Guards against a decider that the failure of a domain keeps busy: each request that it broke is another suspect.
+TEST_CASE("broken requests of which each comes once do not exhaust memory or time", "[entry][crash]")
+{
+    CrashSuspects suspects(1);
+    state::Time now = crashes(suspects, 3, { DeadlyRequest }, Start);
+    constexpr std::uint64_t requests = 200'000;
+    constexpr std::uint64_t first = 1'000'000;
+    for (std::uint64_t i = first; i < first + requests; ++i) {
+        now += state::Duration(100);
+        crash(suspects, 1000 + static_cast<std::uint32_t>((i - first) / 12), { requestSuspect(i) }, now);
+        suspects.expire(now);
+        if (i % 12 == 0) {
+            suspects.answered(Build, Parts{ requestSuspect(i) }, now);
+        }
+        CHECK_FALSE(suspects.isBlocked(Parts{ requestSuspect(i) }, Build));
+    }
+    CHECK(suspects.suspectCount() <= 4096);
+    CHECK(suspects.isBlocked(Parts{ DeadlyRequest }, Build));
+    CHECK(suspects.shares(now).size() <= 64);
+}
+
 TEST_CASE("evidence against blocked parts is stored once and blocks them after a restart", "[entry][crash]")
 {
     CrashSuspects suspects(1);
--- a/tests/coordination/entry/testfleetcrashes.cpp
+++ b/tests/coordination/entry/testfleetcrashes.cpp
@@ -180,6 +180,23 @@
     CHECK(scenario.wronglyRefused() == 0);
 }
 
+// Guards against a verdict that only one host has: it dies, or each request is decided by another one.
+TEST_CASE("what a decider knows of a request that crashes targets survives it", "[entry][fleet][crash]")
+{
+    CrashScenario scenario({ 6, 9, 12, 0, 3, 0 });
+    scenario.loadRequests(seconds(1), 40, milliseconds(1500), {});
+    for (int killed = 0; killed < 3; ++killed) {
+        const auto deciders = scenario.fleet().deciders();
+        REQUIRE_FALSE(deciders.empty());
+        scenario.fleet().restart(deciders.front());
+        scenario.loadRequests(milliseconds(1500), 40, milliseconds(700), {});
+    }
+    scenario.loadRequests(seconds(10), 40, milliseconds(700), {});
+    CHECK(scenario.lateArrivals(RequestCrashesToLearn) <= AllowedAfter);
+    CHECK(scenario.fleet().deadlyCrashes().size() <= RequestCrashesToLearn + AllowedAfter);
+    CHECK(scenario.wronglyRefused() == 0);
+}
+
 // Guards against a verdict that only one host has: it dies, or each request is decided by another one.
 TEST_CASE("what a decider knows of deadly parts survives it", "[entry][fleet][crash]")
 {
