Count crashes of targets that are back at once

The decider now watches the targets of attempts that broke without a refused connection: if the list of targets shows another one at the same address within 6 s, the target has crashed at the time of the break, and answers since then still acquit. A probe that names the old incarnation was ruled out: it would be one more request at targets for each broken answer, and discovery tells the same.

The test with three such restarts fails without the change (nothing is blocked) and passes with it, also with a target that keeps its id; broken connections of a target that does not restart block nothing.

--- a/src/coordination/entry/crashsuspects.cpp
+++ b/src/coordination/entry/crashsuspects.cpp
@@ -106,7 +106,12 @@
         std::copy_if(parts.begin(), parts.end(), std::back_inserter(companions), [part](std::uint64_t other) {
             return other != part;
         });
-        auto &crashes = m_suspects[part].crashes;
+        Suspect &suspect = m_suspects[part];
+        const auto answer = suspect.answered.find(request.build);
+        if (answer != suspect.answered.end() && now <= answer->second) {
+            continue;
+        }
+        auto &crashes = suspect.crashes;
         const auto known = crashes.find({ request.target, m_self });
         if (known != crashes.end()) {
             ++known->second.requests;
--- a/src/coordination/entry/crashsuspects.h
+++ b/src/coordination/entry/crashsuspects.h
@@ -91,7 +91,7 @@
     /** @p self is the processHash() of this process. */
     explicit CrashSuspects(std::uint32_t self = 0);
 
-    /** Records that a target crashed at @p request. */
+    /** Records that a target crashed at @p request at @p now, which may be a moment ago. */
     void crashed(const BrokenRequest &request, state::Time now);
 
     /** Records that a target of @p build answered a request with @p parts without a crash. */
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -41,6 +41,12 @@
  */
 constexpr state::Duration AnswerBegun = std::chrono::milliseconds(500);
 
+/** Time within which discovery tells that a target has restarted; more than the delay of its list and of the store. */
+constexpr state::Duration RestartKnown = std::chrono::seconds(6);
+
+/** Most broken attempts whose targets are watched for a restart. */
+constexpr std::size_t MaxBrokenAttempts = 256;
+
 } // namespace
 
 std::string_view nameOf(RefusalReason reason)
@@ -310,6 +316,12 @@
         m_suspects.answered(attempt.build, attempt.parts, now);
     }
     TargetLoad *target = m_targets.findByHash(attempt.targetHash);
+    if (outcome == AttemptOutcome::Broken && target != nullptr && !target->entry().draining) {
+        m_broken.push_back({ attempt, target->entry(), now });
+        if (m_broken.size() > MaxBrokenAttempts) {
+            m_broken.pop_front();
+        }
+    }
     if (target != nullptr) {
         target->finished(attempt.work, attempt.firstEventAt.has_value(), outcome, now);
         if (outcome == AttemptOutcome::Misdirected) {
@@ -350,6 +362,23 @@
     m_suspects.crashed({ attempt.targetHash, attempt.build, attempt.parts, attempt.dispatched }, now);
 }
 
+/** Records crashes of targets that were back before they could refuse a connection: another one has their address. */
+void Scheduler::recordRestarts(state::Time now)
+{
+    std::erase_if(m_broken, [&](const BrokenAttempt &broken) {
+        const auto targets = m_targets.ofService(broken.target.service);
+        const bool restarted = std::any_of(targets.begin(), targets.end(), [&](const TargetLoad *target) {
+            const auto &entry = target->entry();
+            return entry.address == broken.target.address && entry.port == broken.target.port
+                && target->hash() != broken.attempt.targetHash;
+        });
+        if (restarted) {
+            recordCrash(broken.attempt, broken.at);
+        }
+        return restarted || now - broken.at > RestartKnown;
+    });
+}
+
 /** Acquits the parts of running requests whose answer has begun without a crash. */
 void Scheduler::acquitRunning(state::Time now)
 {
@@ -406,6 +435,7 @@
         targetsChanged();
     }
     m_limits.expire(now);
+    recordRestarts(now);
     m_suspects.expire(now);
 }
 
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -16,6 +16,7 @@
 #include "state/failure.h"
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <span>
@@ -140,6 +141,14 @@
         std::optional<state::Time> firstEventAt;
     };
 
+    /** Attempt whose connection broke although its target accepts connections. */
+    struct BrokenAttempt
+    {
+        Attempt attempt;
+        state::entry::TargetEntry target;
+        state::Time at{};
+    };
+
     Scheduler(const state::entry::Bounds &bounds, Location location, std::uint32_t self);
 
     void decideService(std::string_view service, state::Time now, std::vector<Decision> &decisions);
@@ -155,6 +164,7 @@
     bool mayHold(const TargetLoad &target, const WaitingRequest &request, state::Time now) const;
     Decision refuseBlocked(const WaitingRequest &request, state::Time now);
     void recordCrash(const Attempt &attempt, state::Time now);
+    void recordRestarts(state::Time now);
     void acquitRunning(state::Time now);
     Decision refuse(const WaitingRequest &request, RefusalReason reason, state::Time now);
 
@@ -172,6 +182,7 @@
     std::unique_ptr<TargetChoice> m_targetChoice;
     std::size_t m_deciders = 1;
     std::unordered_map<std::uint64_t, Attempt> m_running;
+    std::deque<BrokenAttempt> m_broken; /**< oldest first */
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/tests/coordination/entry/testfleetcrashes.cpp
+++ b/tests/coordination/entry/testfleetcrashes.cpp
@@ -282,6 +282,33 @@
     CHECK(scheduler->waiting() == 1);
 }
 
+// Guards against BUDGET: a target is back before the host asks whether it refuses connections.
+TEST_CASE("a target whose address another one has after a connection broke has crashed", "[entry][crash]")
+{
+    auto scheduler = makeScheduler();
+    auto entry = makeTarget("a", 1);
+    scheduler->targets().listed(entry);
+    const bool restarts = GENERATE(true, false);
+    const bool changesId = GENERATE(true, false);
+    const std::vector<std::uint64_t> parts{ DeadlyRequest };
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        const state::Time now = Start + seconds(10 * id);
+        ScheduledRequest request = makeRequest(id, 1, 600, now);
+        request.parts = parts;
+        CHECK_FALSE(scheduler->enqueue(request, now));
+        REQUIRE(scheduler->decide(now).size() == 1);
+        scheduler->finished(id, AttemptOutcome::Broken, 0, now + milliseconds(20));
+        if (restarts) {
+            scheduler->targets().removed(entry.id, false, now + milliseconds(500));
+            entry.id = changesId ? "a" + std::to_string(id) : entry.id;
+            ++entry.startedUnixMs;
+            scheduler->targets().listed(entry);
+        }
+        scheduler->expireTargets(now + seconds(1));
+    }
+    CHECK(scheduler->suspects().isBlocked(parts, scheduler->targets().find(entry.id)->build()) == restarts);
+}
+
 TEST_CASE("a stream that began long before its target crashed accuses no part", "[entry][crash]")
 {
     auto scheduler = makeScheduler();
