Do not let passed-on answers outlive later crashes

Cause: evidence carries its age, which leaves out the time on the way. The latest time of an answer counted, so that each time that two hosts told each other the same answer it seemed to be later by the delay, until it had passed the crashes after it and cleared them. The log shows the part blocked and unblocked in turn at each exchange.

An answer now has a number at the process that saw it, in a field that answers did not use, and hosts keep the earliest time for each number. Leaving answers out of messages was ruled out: a host with old crashes would go on refusing.

--- a/src/coordination/entry/crashsuspects.cpp
+++ b/src/coordination/entry/crashsuspects.cpp
@@ -107,8 +107,7 @@
             return other != part;
         });
         Suspect &suspect = m_suspects[part];
-        const auto answer = suspect.answered.find(request.build);
-        if (answer != suspect.answered.end() && now <= answer->second) {
+        if (const auto answer = lastAnswer(suspect, request.build); answer && now <= *answer) {
             continue;
         }
         auto &crashes = suspect.crashes;
@@ -137,10 +136,12 @@
         if (found == m_suspects.end()) {
             continue;
         }
-        const auto last = found->second.answered.find(build);
-        const bool isRecent = last != found->second.answered.end() && now - last->second < AnswerResolution;
+        const auto last = lastAnswer(found->second, build);
+        const bool isRecent = last && now - *last < AnswerResolution;
         if (!isRecent || !found->second.crashes.empty()) {
-            answeredAt(found->second, build, now);
+            Answer &answer = found->second.answered[{ build, m_self }];
+            answer = { ++m_answers, std::max(answer.at, now) };
+            dropAnswered(found->second, build);
             any = true;
         }
     }
@@ -149,13 +150,24 @@
     }
 }
 
-/** Records an answer, which drops the crashes of the build up to then. */
-void CrashSuspects::answeredAt(Suspect &suspect, std::uint32_t build, state::Time at)
+/** Returns when a target of @p build last answered a request with the part; nothing if none is known to have. */
+std::optional<state::Time> CrashSuspects::lastAnswer(const Suspect &suspect, std::uint32_t build)
 {
-    state::Time &last = suspect.answered[build];
-    last = std::max(last, at);
+    std::optional<state::Time> last;
+    for (auto entry = suspect.answered.lower_bound({ build, 0 });
+         entry != suspect.answered.end() && entry->first.first == build;
+         ++entry) {
+        last = std::max(last.value_or(entry->second.at), entry->second.at);
+    }
+    return last;
+}
+
+/** Drops the crashes of @p build up to the last answer. */
+void CrashSuspects::dropAnswered(Suspect &suspect, std::uint32_t build)
+{
+    const auto last = lastAnswer(suspect, build);
     std::erase_if(suspect.crashes, [&](const auto &entry) {
-        return entry.second.build == build && entry.second.at <= last;
+        return last && entry.second.build == build && entry.second.at <= *last;
     });
 }
 
@@ -178,23 +190,14 @@
 {
     const state::Time at = now - std::chrono::milliseconds(evidence.ageMs);
     if (evidence.target == 0) {
-        // An old answer still unblocks a part at a host that hears of it late.
-        if (now - at > (m_blocked.contains(evidence.part) ? KeepBlocked : KeepAnswers)) {
-            return false;
-        }
-        Suspect &suspect = m_suspects[evidence.part];
-        const auto known = suspect.answered.find(evidence.build);
-        const bool isNews = known == suspect.answered.end() || known->second < at;
-        answeredAt(suspect, evidence.build, at);
-        return isNews;
+        return addAnswer(evidence, at, now);
     }
     const auto found = m_suspects.find(evidence.part);
     if (now - at > KeepBlocked || evidence.requests == 0) {
         return false;
     }
     if (found != m_suspects.end()) {
-        const auto answer = found->second.answered.find(evidence.build);
-        if (answer != found->second.answered.end() && at <= answer->second) {
+        if (const auto answer = lastAnswer(found->second, evidence.build); answer && at <= *answer) {
             found->second.contested = true;
             return false;
         }
@@ -223,6 +226,29 @@
     return isNews;
 }
 
+/** Adds an answer that another host knows of, at @p at by this host's clock; returns whether it was news. */
+bool CrashSuspects::addAnswer(const PartEvidence &evidence, state::Time at, state::Time now)
+{
+    // An old answer still unblocks a part at a host that hears of it late.
+    if (now - at > (m_blocked.contains(evidence.part) ? KeepBlocked : KeepAnswers)) {
+        return false;
+    }
+    Suspect &suspect = m_suspects[evidence.part];
+    const auto [known, added] =
+        suspect.answered.try_emplace({ evidence.build, evidence.observer }, Answer{ evidence.heldMs, at });
+    if (!added && evidence.heldMs <= known->second.number) {
+        // The ages in messages leave out the time on the way. Taking the latest of them would move an answer that hosts
+        // tell each other again and again past later crashes.
+        if (evidence.heldMs == known->second.number) {
+            known->second.at = std::min(known->second.at, at);
+        }
+        return false;
+    }
+    known->second = { evidence.heldMs, at };
+    dropAnswered(suspect, evidence.build);
+    return true;
+}
+
 bool CrashSuspects::isBlocked(std::span<const std::uint64_t> parts, std::uint32_t build) const
 {
     return !m_blocked.empty() && std::any_of(parts.begin(), parts.end(), [&](std::uint64_t part) {
@@ -314,9 +340,9 @@
             if (suspect.contested != contested) {
                 continue;
             }
-            for (const auto &[build, at] : suspect.answered) {
+            for (const auto &[key, answer] : suspect.answered) {
                 if (answers < MaxSharedAnswers) {
-                    result.push_back({ part, build, 0, 0, 0, ageMs(at, now), 0, {} });
+                    result.push_back({ part, key.first, 0, key.second, 0, ageMs(answer.at, now), answer.number, {} });
                     ++answers;
                 }
             }
@@ -379,7 +405,7 @@
         });
         const state::Duration keepAnswers = suspect.wasBlocked ? KeepBlocked : KeepAnswers;
         dropped += std::erase_if(suspect.answered, [&](const auto &entry) {
-            return now - entry.second > keepAnswers;
+            return now - entry.second.at > keepAnswers;
         });
         if (dropped > 0) {
             parts.push_back(part);
@@ -551,9 +577,9 @@
         for (const auto &[key, crash] : suspect.crashes) {
             entry.builds.insert(crash.build);
         }
-        for (const auto &[build, at] : suspect.answered) {
-            if (!entry.builds.contains(build)) {
-                entry.exempt.insert(build);
+        for (const auto &[key, answer] : suspect.answered) {
+            if (!entry.builds.contains(key.first)) {
+                entry.exempt.insert(key.first);
             }
         }
         if (!m_blocked.contains(part)) {
--- a/src/coordination/entry/crashsuspects.h
+++ b/src/coordination/entry/crashsuspects.h
@@ -186,10 +186,19 @@
 
     using TargetAndObserver = std::pair<std::uint32_t, std::uint32_t>;
 
+    using BuildAndObserver = std::pair<std::uint32_t, std::uint32_t>;
+
+    /** Last answer that one process has seen at targets of one build. */
+    struct Answer
+    {
+        std::uint32_t number = 0; /**< of all answers that the process recorded; tells old news from new */
+        state::Time at{};
+    };
+
     struct Suspect
     {
         std::map<TargetAndObserver, Observation> crashes; /**< since the last answer */
-        std::map<std::uint32_t, state::Time> answered; /**< last answer of each build */
+        std::map<BuildAndObserver, Answer> answered;
         bool wasBlocked = false; /**< a host that hears late of its answers would block it again */
         bool contested = false; /**< another host has sent crashes from before an answer */
     };
@@ -223,7 +232,9 @@
     };
 
     bool add(const PartEvidence &evidence, state::Time now);
-    void answeredAt(Suspect &suspect, std::uint32_t build, state::Time at);
+    static std::optional<state::Time> lastAnswer(const Suspect &suspect, std::uint32_t build);
+    static void dropAnswered(Suspect &suspect, std::uint32_t build);
+    bool addAnswer(const PartEvidence &evidence, state::Time at, state::Time now);
     void changed(std::span<const std::uint64_t> parts);
     bool updateAccused(std::uint64_t part);
     void updateBlocked();
@@ -240,6 +251,7 @@
     state::Time trialAt(std::uint64_t part, const Blocked &blocked) const;
 
     std::uint32_t m_self;
+    std::uint32_t m_answers = 0; /**< recorded by this process */
     std::map<std::uint64_t, Suspect> m_suspects; /**< by part */
     std::map<std::uint64_t, Accused> m_accused; /**< suspects with crashes, by part */
     std::set<std::uint64_t> m_repeated; /**< accused parts with BlockAfter separate crashes */
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -54,11 +54,10 @@
     std::uint64_t part = 0;
     std::uint32_t build = 0; /**< see buildHash() */
     std::uint32_t target = 0; /**< incarnation that crashed at requests with the part; 0 for an answer to one */
-    std::uint32_t observer =
-        0; /**< process that has decided about these requests, see processHash(); 0 for an answer */
+    std::uint32_t observer = 0; /**< process that has decided about these requests, see processHash() */
     std::uint16_t requests = 0; /**< with the part, which the crash broke */
     std::uint32_t ageMs = 0; /**< since the crash, or since the last answer */
-    std::uint32_t heldMs = 0; /**< shortest time for which the target had such a request */
+    std::uint32_t heldMs = 0; /**< shortest time for which the target had such a request; number of an answer */
     std::vector<std::uint64_t> companions; /**< parts that all these requests had as well */
 
     friend bool operator==(const PartEvidence &, const PartEvidence &) = default;
