Go on following targets after an odd entry

Operators of similar systems reported hosts that stopped following the list of targets after another writer had left one odd entry in it.

Cause: Codec::decodeTarget() converted a start time above 2^63 with to_number(), which throws. The tasks of StoreFollower were started detached, so the exception ended the task without a log line: the host kept its old targets for good, sent requests to those that had left, and learned of no new ones. The entries after the odd one in the page were lost as well.

Ruled out: nesting of 10,000 levels (the parser stops at 32), ports 0, 65536, -1 and 1e400 (parseEndpoint() rejects them), bytes that are not UTF-8.

An exception while a record is applied rejects this record only. A task that ends by an exception is logged (store_task_failed), counted (store_tasks_failed_total) and run again after 0.5 s, from the newest records.

--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <map>
 #include <utility>
 
@@ -78,6 +79,9 @@
 constexpr state::Duration RolloutCheckInterval = std::chrono::milliseconds(150);
 constexpr state::Duration RolloutStatusInterval = std::chrono::milliseconds(1000);
 
+/** Delay before a task that ended by an exception runs again. */
+constexpr state::Duration TaskRestartDelay = std::chrono::milliseconds(500);
+
 /** Keys of the records with the quota usage and with the evidence against blocked parts. */
 constexpr std::string_view QuotaUseKey = "use";
 constexpr std::string_view BlockedPartsKey = "parts";
@@ -104,6 +108,20 @@
     return "unknown";
 }
 
+/**
+ * Runs @p apply, which decodes and applies one record. Passes its failure to @p onFailure, and an exception too, which
+ * must not keep the records after it from being applied.
+ */
+template <typename Apply, typename OnFailure>
+auto applyRecord(const StoreRecord &record, const Apply &apply, const OnFailure &onFailure)
+{
+    try {
+        return state::handleFailure(apply, onFailure);
+    } catch (const std::exception &exception) {
+        return onFailure(state::Failure{ "store.apply", record.key, exception.what() });
+    }
+}
+
 } // namespace
 
 StoreFollower::StoreFollower(ServingContext &context, MetadataStore &store)
@@ -124,17 +142,35 @@
 {
     m_relay->start();
     m_started = m_context.now();
-    asio::co_spawn(m_context.io, followOperator(), asio::detached);
-    asio::co_spawn(m_context.io, followTargets(), asio::detached);
-    asio::co_spawn(m_context.io, discoverHosts(), asio::detached);
-    asio::co_spawn(m_context.io, persistDeciderState(), asio::detached);
-    asio::co_spawn(m_context.io, runRollouts(), asio::detached);
+    asio::co_spawn(m_context.io, supervise("operator", &StoreFollower::followOperator), asio::detached);
+    asio::co_spawn(m_context.io, supervise("targets", &StoreFollower::followTargets), asio::detached);
+    asio::co_spawn(m_context.io, supervise("hosts", &StoreFollower::discoverHosts), asio::detached);
+    asio::co_spawn(m_context.io, supervise("decider_state", &StoreFollower::persistDeciderState), asio::detached);
+    asio::co_spawn(m_context.io, supervise("rollouts", &StoreFollower::runRollouts), asio::detached);
+}
+
+/** Runs @p task again whenever it ends by an exception, which would otherwise end it without a trace. */
+asio::awaitable<void> StoreFollower::supervise(std::string_view name, Task task)
+{
+    for (;;) {
+        try {
+            co_await (this->*task)();
+            co_return;
+        } catch (const std::exception &exception) {
+            m_context.metrics.count("store_tasks_failed_total");
+            logFailure("store_task_failed", { "store.follow", std::string(name), exception.what() });
+        }
+        co_await sleepFor(TaskRestartDelay);
+    }
 }
 
 asio::awaitable<void> StoreFollower::followOperator()
 {
-    co_await restoreQuotaUse();
-    co_await restoreBlockedParts();
+    m_operatorTopic.next.reset(); // An earlier run may have ended before it had applied a page.
+    if (!std::exchange(m_stateRestored, true)) {
+        co_await restoreQuotaUse();
+        co_await restoreBlockedParts();
+    }
     for (;;) {
         const bool newer = isOutdated(knownVersion());
         const bool readsStore = m_context.fleet.directory().isCandidate(m_context.now());
@@ -283,6 +319,7 @@
 
 asio::awaitable<void> StoreFollower::followTargets()
 {
+    m_targetsTopic.next.reset(); // An earlier run may have ended before it had applied a page.
     for (;;) {
         if (!m_context.fleet.needsTargets(m_context.now())) {
             m_context.targetsCurrent = false;
@@ -349,7 +386,8 @@
             if (record.key == m_context.settings.hostId || !record.value) {
                 continue;
             }
-            state::handleFailure(
+            applyRecord(
+                record,
                 [&]() -> state::Result<void> {
                     BOOST_LEAF_AUTO(host, protocol::decodeHostRecord(record.key, *record.value));
                     m_context.scheduler.peers().addPeer(host.name, host.address, host.port, m_context.now());
@@ -391,7 +429,8 @@
         if (record.key != QuotaUseKey || !record.value) {
             continue;
         }
-        state::handleFailure(
+        applyRecord(
+            record,
             [&]() -> state::Result<void> {
                 BOOST_LEAF_AUTO(use, protocol::decodeQuotaUse(*record.value));
                 logEvent("quota_use_restored", { { "customers", std::to_string(use.size()) } });
@@ -420,7 +459,8 @@
         if (record.key != BlockedPartsKey || !record.value) {
             continue;
         }
-        state::handleFailure(
+        applyRecord(
+            record,
             [&]() -> state::Result<void> {
                 BOOST_LEAF_AUTO(evidence, protocol::decodePartEvidence(*record.value));
                 logEvent("blocked_parts_restored", { { "crashes", std::to_string(evidence.size()) } });
@@ -483,8 +523,6 @@
 /** Evaluates the rollouts, reads published outcomes, and publishes outcomes if this host is the decider. */
 asio::awaitable<void> StoreFollower::runRollouts()
 {
-    std::map<std::string, state::entry::RolloutState> unpublished; // By service; without outcomes that are published.
-    std::map<std::string, std::string> announced; // Target version by service that was announced as running.
     state::Time statusRead{};
     for (;;) {
         co_await sleepFor(RolloutCheckInterval);
@@ -494,10 +532,10 @@
             continue;
         }
         if (std::exchange(m_rolloutsUnconfirmed, false)) {
-            announced.clear();
+            m_announcedRollouts.clear();
             for (const auto &status : states) {
                 if (status.state != state::entry::RolloutState::Running) {
-                    unpublished[status.service] = status.state;
+                    m_unpublishedRollouts[status.service] = status.state;
                 }
             }
         }
@@ -506,16 +544,16 @@
                      { { "service", status.service },
                        { "version", status.targetVersion },
                        { "done", status.state == state::entry::RolloutState::Done ? "yes" : "no" } });
-            unpublished[status.service] = status.state;
+            m_unpublishedRollouts[status.service] = status.state;
         }
         const bool publishes = isDecider();
         for (const auto &status : rollouts.states()) {
             const bool running = status.state == state::entry::RolloutState::Running;
-            const bool statusChanged =
-                running ? announced[status.service] != status.targetVersion : unpublished.contains(status.service);
+            const bool statusChanged = running ? m_announcedRollouts[status.service] != status.targetVersion
+                                               : m_unpublishedRollouts.contains(status.service);
             if (publishes && statusChanged && co_await publishRolloutStatus(status)) {
-                announced[status.service] = status.targetVersion;
-                unpublished.erase(status.service);
+                m_announcedRollouts[status.service] = status.targetVersion;
+                m_unpublishedRollouts.erase(status.service);
             }
         }
         const bool anyRunning = std::any_of(states.begin(), states.end(), [](const auto &status) {
@@ -542,7 +580,8 @@
         if (!service || !record.value) {
             continue;
         }
-        state::handleFailure(
+        applyRecord(
+            record,
             [&]() -> state::Result<void> {
                 BOOST_LEAF_AUTO(status, m_context.codec.decodeRolloutStatus(*service, *record.value));
                 m_context.scheduler.rollouts().published(status);
@@ -737,7 +776,7 @@
     }
     for (const auto &record : records) {
         if (record.value && m_context.codec.classify(record.key) == OperatorRecord::RolloutOrder) {
-            applyRollout(*record.value);
+            applyRollout(record);
         }
     }
 }
@@ -748,7 +787,7 @@
  */
 void StoreFollower::useConfiguration(const StoreRecord &record)
 {
-    if (applyConfiguration(*record.value)) {
+    if (applyConfiguration(record)) {
         provideToPeers(record);
     }
 }
@@ -760,12 +799,13 @@
     m_encodedRecords.clear();
 }
 
-/** Puts the configuration in @p document in force; returns false if it is not newer than the one in force. */
-bool StoreFollower::applyConfiguration(const std::string &document)
+/** Puts the configuration in @p record in force; returns false if it is not newer than the one in force. */
+bool StoreFollower::applyConfiguration(const StoreRecord &record)
 {
-    return state::handleFailure(
+    return applyRecord(
+        record,
         [&]() -> state::Result<bool> {
-            BOOST_LEAF_AUTO(table, m_context.codec.decodeConfiguration(document));
+            BOOST_LEAF_AUTO(table, m_context.codec.decodeConfiguration(*record.value));
             const std::uint64_t before = knownVersion();
             // A host without a configuration waits for the newest one, rather than serve one that was superseded.
             const bool usable = m_context.table ? table.version() > before : !isOutdated(table.version());
@@ -789,11 +829,12 @@
         });
 }
 
-void StoreFollower::applyRollout(const std::string &document)
+void StoreFollower::applyRollout(const StoreRecord &record)
 {
-    state::handleFailure(
+    applyRecord(
+        record,
         [&]() -> state::Result<void> {
-            BOOST_LEAF_AUTO(order, m_context.codec.decodeRollout(document));
+            BOOST_LEAF_AUTO(order, m_context.codec.decodeRollout(*record.value));
             logEvent("rollout_ordered",
                      { { "service", order.service },
                        { "version", order.targetVersion },
@@ -821,7 +862,8 @@
                      { { "target", record.key }, { "store_was_away", storeWasUnavailable ? "yes" : "no" } });
             continue;
         }
-        state::handleFailure(
+        applyRecord(
+            record,
             [&]() -> state::Result<void> {
                 BOOST_LEAF_AUTO(entry, m_context.codec.decodeTarget(record.key, *record.value));
                 const auto *before = targets.find(entry.id);
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sapphirecove::transport::entry {
@@ -55,6 +56,9 @@
         std::optional<std::uint64_t> era;
     };
 
+    using Task = boost::asio::awaitable<void> (StoreFollower::*)();
+
+    boost::asio::awaitable<void> supervise(std::string_view name, Task task);
     boost::asio::awaitable<void> followOperator();
     boost::asio::awaitable<void> followTargets();
     state::Time confirmationTime(const StorePage &page, state::Time sent, state::Duration wait) const;
@@ -87,10 +91,10 @@
     void adoptOffset(const protocol::OperatorState &fetched);
     void recordReadResult(StoreTopic topic, TopicState &topicState, const StorePage &page);
     void applyOperator(const std::vector<StoreRecord> &records);
-    bool applyConfiguration(const std::string &document);
+    bool applyConfiguration(const StoreRecord &record);
     void useConfiguration(const StoreRecord &record);
     void provideToPeers(const StoreRecord &record);
-    void applyRollout(const std::string &document);
+    void applyRollout(const StoreRecord &record);
     void applyTargets(const StorePage &page, bool complete, const TopicState &topicState);
 
     ServingContext &m_context;
@@ -105,6 +109,9 @@
     std::optional<std::uint64_t> m_announcedInEra; /**< era in which this host has announced itself */
     state::Time m_restoredAt{}; /**< when this host learned of the last restore; zero if there was none */
     bool m_storeOutdated = false; /**< the store's newest configuration is older than one that a host has */
+    bool m_stateRestored = false; /**< the state from before the start of this host was read */
+    std::map<std::string, state::entry::RolloutState> m_unpublishedRollouts; /**< outcomes by service */
+    std::map<std::string, std::string> m_announcedRollouts; /**< by service, target version announced as running */
     bool m_rolloutsUnconfirmed = false; /**< the store may have lost the published states of rollouts */
     TopicState m_operatorTopic;
     TopicState m_targetsTopic;
--- a/tests/platform/testplatform.cpp
+++ b/tests/platform/testplatform.cpp
@@ -138,7 +138,11 @@
     CHECK(readTarget(Target).first->startedUnixMs == 1770000000000);
     CHECK(readTarget(replaced(Target, "\"ready\"", "\"draining\"")).first->draining);
     CHECK_FALSE(readTarget(replaced(Target, "\"ready\"", "\"resting\"")).first);
-    CHECK_FALSE(readTarget(replaced(Target, "1770000000000", "1.5")).first);
+    for (const char *start : { "1.5", "-1", "1e400", "9223372036854775808", "18446744073709551615", "1e19" }) {
+        INFO(start);
+        CHECK_FALSE(readTarget(replaced(Target, "1770000000000", start)).first);
+    }
+    CHECK(readTarget(replaced(Target, "1770000000000", "9223372036854775807")).first);
     CHECK_FALSE(readTarget(replaced(Target, "\"concurrency\":12", "\"concurrency\":\"12\"")).first);
     CHECK_FALSE(readTarget(replaced(Target, "10.128.0.9:8080", "10.128.0.9")).first);
     CHECK_FALSE(readTarget("\xff\xfe").first);
--- a/tests/transport/entry/restorablestore.h
+++ b/tests/transport/entry/restorablestore.h
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -55,6 +57,13 @@
         m_away = false;
     }
 
+    /** Makes the next read of @p topic throw. */
+    void throwAtNextRead(Topic topic)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_throwing.insert(topic);
+    }
+
     std::vector<Record> records(Topic topic)
     {
         const std::lock_guard lock(m_mutex);
@@ -82,6 +91,7 @@
     std::map<Topic, std::vector<Record>> m_topics;
     std::uint64_t m_era = 1;
     bool m_away = false;
+    std::set<Topic> m_throwing;
 };
 
 class RestorableStore::Client final : public transport::entry::MetadataStore
@@ -100,6 +110,7 @@
     {
         const std::lock_guard lock(m_store.m_mutex);
         Page page = failedIfAway();
+        throwIfDue(topic);
         if (!page.failure) {
             std::map<std::string, Record> newest;
             for (const Record &record : m_store.m_topics[topic]) {
@@ -163,10 +174,18 @@
         return page;
     }
 
+    void throwIfDue(Topic topic)
+    {
+        if (m_store.m_throwing.erase(topic) > 0) {
+            throw std::runtime_error("test");
+        }
+    }
+
     Page read(Topic topic, std::uint64_t offset)
     {
         const std::lock_guard lock(m_store.m_mutex);
         Page page = failedIfAway();
+        throwIfDue(topic);
         const auto &records = m_store.m_topics[topic];
         if (!page.failure) {
             page.historyLost = offset > records.size();
--- /dev/null
+++ b/tests/transport/entry/testoddentries.cpp
@@ -0,0 +1,122 @@
+#include "tests/transport/entry/storehost.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace sapphirecove;
+using namespace sapphirecove::tests;
+using namespace sapphirecove::tests::entry;
+using Topic = transport::entry::StoreTopic;
+
+namespace {
+
+constexpr std::string_view Path = "/lookup/";
+
+std::string configurationDocument(int version, std::string_view path = Path)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[{"name":"r","host":"a.example","pathPrefix":")"
+        + std::string(path) + R"(","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":150,"priority":0,)"
+        + R"("service":"s","maxAttempts":1,"public":false}],"services":[{"name":"s"}],)"
+        + R"("tenants":[{"name":"t1","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})";
+}
+
+std::string targetDocument(std::string_view address, std::string_view more = "")
+{
+    return R"({"service":"s","address":")" + std::string(address)
+        + R"(","zone":"osu","version":"v1","concurrency":4,"state":"ready","sequence":1)" + std::string(more) + "}";
+}
+
+std::string addressOf(const ScriptedTarget &target)
+{
+    return "127.0.0.1:" + std::to_string(target.port());
+}
+
+/** Target that answers every request with its own name. */
+std::unique_ptr<ScriptedTarget> namedTarget(const std::string &name)
+{
+    return std::make_unique<ScriptedTarget>([name](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nX-Server-Seal: s1\r\nConnection: close\r\nContent-Length: "
+                         + std::to_string(name.size()) + "\r\n\r\n" + name);
+    });
+}
+
+std::string nested(std::size_t levels)
+{
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+/** Entries of another writer that name no target to use. */
+std::vector<std::string> oddTargets()
+{
+    std::vector<std::string> documents{
+        nested(10000),
+        targetDocument("127.0.0.1:80", R"(,"more":)" + nested(10000)),
+        targetDocument("127.0.0.1:0"),
+        targetDocument("127.0.0.1:65536"),
+        targetDocument("127.0.0.1:-1"),
+        targetDocument("127.0.0.1:1e400"),
+        targetDocument("127.0.0.1"),
+        "\xff\xfe",
+        std::string(1000000, '{'),
+    };
+    for (const char *number :
+         { "18446744073709551615", "18446744073709551616", "9223372036854775808", "1e400", "1.5" }) {
+        documents.push_back(targetDocument("127.0.0.1:80", R"(,"born":)" + std::string(number)));
+    }
+    return documents;
+}
+
+} // namespace
+
+// Guards against an entry of another writer that keeps a host from following the targets: it would send requests to
+// targets that have left and never learn of new ones.
+TEST_CASE("a host goes on following targets after odd entries", "[entry][host][odd]")
+{
+    const auto first = namedTarget("first");
+    const auto second = namedTarget("second");
+    RestorableStore store;
+    store.write(Topic::Operator, "config", configurationDocument(2));
+    store.write(Topic::Targets, "m", targetDocument(addressOf(*first)));
+    const bool listedAtStart = GENERATE(true, false);
+    const auto writeOdd = [&] {
+        int number = 0;
+        for (const std::string &document : oddTargets()) {
+            // Some keys sort before that of the sound entry, some after it.
+            const std::string key = (number % 2 == 0 ? "a-" : "z-") + std::to_string(number);
+            store.write(Topic::Targets, key, document);
+            ++number;
+        }
+    };
+    if (listedAtStart) {
+        writeOdd();
+    }
+    StoreHost host(store, "host-1", true);
+    REQUIRE(host.comesTo(std::string(Path), "first"));
+    if (!listedAtStart) {
+        writeOdd();
+    }
+    store.write(Topic::Targets, "m", std::nullopt);
+    store.write(Topic::Targets, "n", targetDocument(addressOf(*second)));
+    CHECK(host.comesTo(std::string(Path), "second"));
+}
+
+// Guards against a task that ends by an exception without a trace, whatever threw it.
+TEST_CASE("a host goes on following the store after an exception", "[entry][host][odd]")
+{
+    const auto first = namedTarget("first");
+    const auto second = namedTarget("second");
+    RestorableStore store;
+    store.write(Topic::Operator, "config", configurationDocument(2));
+    store.write(Topic::Targets, "m", targetDocument(addressOf(*first)));
+    StoreHost host(store, "host-1", true);
+    REQUIRE(host.comesTo(std::string(Path), "first"));
+    store.throwAtNextRead(Topic::Targets);
+    store.throwAtNextRead(Topic::Operator);
+    store.write(Topic::Targets, "m", std::nullopt);
+    store.write(Topic::Targets, "n", targetDocument(addressOf(*second)));
+    CHECK(host.comesTo(std::string(Path), "second"));
+    store.write(Topic::Operator, "config", configurationDocument(3, "/new/"));
+    CHECK(host.comesTo("/new/", "second"));
+}
