Survive a late response that comes alone

A target that wrote the answer to an earlier request once more on a kept connection, and nothing behind it yet, ended the host (SIGSEGV).

Cause: TargetAttempt::readHead() skips the responses to other requests with readFullResponse(), which gave the connection back to the pool when nothing more was buffered. The next read used the connection that was gone; at the same time another request could have been sent on it. The existing test sends the late response and the right one in a single write, so that the buffer was never empty.

Change: only the response to the attempt itself gives the connection back.

--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -182,6 +182,9 @@
         co_return;
     }
     co_await readFullResponse(result);
+    if (result.response) {
+        returnConnection();
+    }
     if (result.response && m_response.notExecuted) {
         result.outcome = AttemptOutcome::NotExecuted;
         result.detail = "status " + std::to_string(head.result_int());
@@ -301,7 +304,6 @@
     const unsigned status = response.result_int();
     result.outcome = status >= 500 ? AttemptOutcome::ServerError : AttemptOutcome::Served;
     result.response = std::move(response);
-    returnConnection();
 }
 
 asio::awaitable<void> TargetAttempt::readStream(StreamSink &sink, AttemptResult &result)
--- a/tests/transport/entry/testentryhost.cpp
+++ b/tests/transport/entry/testentryhost.cpp
@@ -117,6 +117,24 @@
     CHECK(contains(fixture.call(LookupPath, "a2"), "\r\n\r\nsecond"));
 }
 
+// Guards against a connection that is kept for other requests, or used after that, while its answer is still due.
+TEST_CASE("a host outlives a late response that comes alone", "[entry][host]")
+{
+    const bool answers = GENERATE(true, false);
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.write(completeResponse("a1", "first"));
+        connection.readRequest();
+        connection.write(completeResponse("a1", "first again"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        if (answers) {
+            connection.write(completeResponse("a2", "second"));
+        }
+    });
+    EntryFixture fixture({ target.port() });
+    CHECK(contains(fixture.call(CommitPath, "a1", "POST"), "\r\n\r\nfirst"));
+    CHECK(contains(fixture.call(CommitPath, "a2", "POST"), answers ? "\r\n\r\nsecond" : " 502 "));
+}
+
 TEST_CASE("a non-idempotent request is sent once and a truncated response becomes a 502 without signature",
           "[entry][host]")
 {
