--- a/tests/platform/testplatform.cpp
+++ b/tests/platform/testplatform.cpp
@@ -316,6 +316,30 @@
                 }).first);
 }
 
+// Guards against a decoder that writes past its buffer when the last group of characters lacks its padding.
+TEST_CASE("values of the newest records are decoded with and without padding", "[platform][store]")
+{
+    const auto decode = [](const std::string &value) {
+        const auto [page, problem] = attempt<NewestPage>([&] {
+            return decodeNewest(R"({"items":[{"key":"a","value":")" + value + R"("}],"end":1})");
+        });
+        return page ? page->records.at(0).value : std::nullopt;
+    };
+    for (const std::size_t groups : { 0, 1, 5, 6, 20, 21, 1000 }) {
+        INFO(groups);
+        std::string start;
+        for (std::size_t i = 0; i < groups; ++i) {
+            start += "YWFh";
+        }
+        const std::string decoded(groups * 3, 'a');
+        CHECK(decode(start) == decoded);
+        CHECK(decode(start + "YWE=") == decoded + "aa");
+        CHECK(decode(start + "YWE") == decoded + "aa");
+        CHECK(decode(start + "YQ==") == decoded + "a");
+        CHECK(decode(start + "YQ") == decoded + "a");
+    }
+}
+
 TEST_CASE("rollout orders are decoded and rollout statuses survive a round trip", "[platform][rollout]")
 {
     const Codec codec;
