Do not take a stale refusal for an answer

Operators reported that a faulty worker wrote an earlier refusal once more on a kept connection. Callers were told "not run, try again" for requests that were running (REFUSED), or such a request ran at a second worker (TWICE).

Cause: a refusal without an attempt id was taken for the answer to whatever request was under way on its connection.

Ruled out: copies that name their request (skipped by the id, which no two requests of one connection share: an exchange never sends to a target twice), and bytes that are there before a pooled connection is taken out (it is dropped then).

Change: on a connection that was used before, a refusal proves something only if it names the attempt. Otherwise the attempt is broken: 502, and nothing that must not run twice is sent again. On a fresh connection there is no earlier request whose answer could be repeated. The statement is ignored in 2xx responses. A connection that was made ahead for a handover is checked for bytes again before the request is sent.

--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -58,6 +58,9 @@
 asio::awaitable<bool> TargetAttempt::begin(Request request, std::string attemptId, AttemptResult &result)
 {
     m_isHead = request.method() == http::verb::head;
+    if (m_connection && !isIdleAndOpen(m_connection->socket)) {
+        m_connection.reset(); // Bytes that arrived before the request belong to none.
+    }
     if (!m_connection) {
         const bool connected = co_await connect(result);
         if (!connected) {
@@ -73,7 +76,15 @@
     if (!hasHeader) {
         co_return false;
     }
-    m_response = m_context.codec.decodeResponse(m_parser->get());
+    const auto &head = m_parser->get();
+    m_response = m_context.codec.decodeResponse(head);
+    m_response.notExecuted = m_response.notExecuted && head.result_int() / 100 != 2;
+    if (m_response.notExecuted && m_response.attemptId.empty() && !m_firstOnConnection) {
+        // It may be a copy of the answer to an earlier request on this connection.
+        m_context.metrics.count("target_refusals_unproven_total");
+        result.detail = "refusal without an attempt id on a connection that was used before";
+        co_return false;
+    }
     if (m_response.notExecuted) {
         result.mayHaveRun = false;
     }
@@ -146,6 +157,7 @@
 asio::awaitable<bool> TargetAttempt::send(std::shared_ptr<Request> request, AttemptResult &result)
 {
     m_sent = true;
+    m_firstOnConnection = !std::exchange(m_connection->used, true);
     result.mayHaveRun = true;
     startInactivityTimer(m_timeouts.firstByte);
     if (request->body().size() > LargeBodyBytes) {
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -133,6 +133,7 @@
     std::optional<std::uint64_t> m_lastEventId;
     std::optional<state::Time> m_inactivityDeadline;
     bool m_isHead = false; /**< the request asks for the header of a response only */
+    bool m_firstOnConnection = true; /**< no other request was sent on the connection before */
     bool m_sent = false;
     bool m_aborted = false;
     bool m_stalled = false;
--- a/src/transport/entry/targetconnectionpool.h
+++ b/src/transport/entry/targetconnectionpool.h
@@ -29,6 +29,7 @@
 
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer{ MaxUnparsedBytes }; /**< a read fails when it is full */
+    bool used = false; /**< a request was sent on it */
     state::Time idleSince{};
     state::Duration idleTimeout{}; /**< the target closes it after this idle time */
 };
