Pass on no promise that the target did not make

A request that must not run twice was answered 408, 429 or 503, which promise that it has not run (REFUSED), when its target sent that status without the statement that it did not run the request. Such a status may also be the copy of an answer to another request.

Change: for such requests, a status that promises this becomes a 502 without signature unless the target states that it did not run the request. Requests that may be repeated get the target's answer as before.

Measured: the new case of teststalerefusals.cpp failed before for 408, 429 and 503 and passes now, with the other tests of the entry host.

--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -90,6 +90,13 @@
     return "unknown";
 }
 
+/** Returns whether @p status tells the caller that its request has not run and never will. */
+bool promisesNoRun(http::status status)
+{
+    return status == http::status::request_timeout || status == http::status::misdirected_request
+        || status == http::status::too_many_requests || status == http::status::service_unavailable;
+}
+
 } // namespace
 
 Exchange::Exchange(ServingContext &context, asio::ip::tcp::socket &caller, Request request, state::Time arrived)
@@ -566,6 +573,9 @@
 {
     if (result.response && result.outcome != AttemptOutcome::NotExecuted
         && result.outcome != AttemptOutcome::Misdirected) {
+        if (!repeatable() && promisesNoRun(result.response->result())) {
+            return makeErrorResponse(http::status::bad_gateway, "unproven_refusal");
+        }
         return std::move(*result.response);
     }
     if (m_state == State::TimedOut) {
--- a/tests/transport/entry/teststalerefusals.cpp
+++ b/tests/transport/entry/teststalerefusals.cpp
@@ -165,3 +165,19 @@
     CHECK(contains(commit(fixture, "a1"), " 503 "));
     CHECK(target.requests().size() == 1);
 }
+
+// Guards against REFUSED: a target's status alone does not state that it did not run the request.
+TEST_CASE("a status that promises no run is not passed on without the target's statement", "[entry][host][stale]")
+{
+    const int status = GENERATE(408, 429, 503);
+    CAPTURE(status);
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.1 " + std::to_string(status) + " X\r\n" + idField("a1") + std::string(Seal)
+                         + "Content-Length: 0\r\n\r\n");
+    });
+    EntryFixture fixture({ target.port() });
+    const std::string response = commit(fixture, "a1");
+    CHECK(contains(response, " 502 "));
+    CHECK_FALSE(contains(response, "X-Server-Seal"));
+    CHECK(target.requests().size() == 1);
+}
