Resume a stream only at its next event, and end it only after one

Cause: what the next target sent as an event stream was forwarded as it came: from its first event, with an event left out or repeated, with ids that went back. One that ended without any event ended the caller's stream as complete, however it was framed. Streams without ids were resumed with Last-Event-Id 0 and so began again.

Ruled out: a head, status or body of the next target in the stream.

Change: EventSequence checks that ids increase, and that a resumed stream begins with the next id if the ids so far had no gaps. What does not follow breaks the attempt, and what came before it has been forwarded. A resumed stream ends as complete only after an event or an end marker of its own, since nothing else shows that the target knew where to go on. A stream with events that have no ids is not resumed. A 2xx or 4xx answer in place of the rest counts as a broken attempt, so that a further target may be tried within the route's limit.

--- a/src/protocol/eventstreamparser.cpp
+++ b/src/protocol/eventstreamparser.cpp
@@ -1,6 +1,7 @@
 #include "protocol/eventstreamparser.h"
 
 #include <charconv>
+#include <utility>
 
 namespace sapphirecove::protocol {
 
@@ -75,6 +76,7 @@
 /** Adds the event to @p events, unless it consists of comments only; their bytes then belong to the next event. */
 void EventStreamParser::finishEvent(std::vector<ServerSentEvent> &events)
 {
+    m_hasNewId = m_hasNewId || m_id.has_value();
     m_lastEventId = m_id.value_or(m_lastEventId);
     m_id.reset();
     m_hasFields = false;
@@ -83,6 +85,7 @@
     }
     ServerSentEvent event;
     event.id = m_lastEventId;
+    event.hasId = std::exchange(m_hasNewId, false);
     event.data = std::move(m_data);
     event.endMarker = event.data == EndMarker;
     event.raw = std::move(m_raw);
--- a/src/protocol/eventstreamparser.h
+++ b/src/protocol/eventstreamparser.h
@@ -15,6 +15,7 @@
 struct ServerSentEvent
 {
     std::uint64_t id = 0; /**< last id received so far; 0 if none was */
+    bool hasId = false; /**< the id was received with this event, not with an earlier one */
     std::string data; /**< lines joined by newlines */
     bool endMarker = false; /**< data is "[DONE]" */
     std::string raw; /**< bytes of the event as received, with the empty line that ends it */
@@ -74,6 +75,7 @@
     std::string m_raw;
     std::string m_data;
     std::optional<std::uint64_t> m_id;
+    bool m_hasNewId = false; /**< an id was received since the last event */
     std::uint64_t m_lastEventId = 0;
     std::optional<Usage> m_usage;
     bool m_hasData = false;
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -163,6 +163,9 @@
 asio::awaitable<bool> Exchange::serve()
 {
     m_context.scheduler.retryBudget().recordRequest(m_admitted.service, m_context.now());
+    if (m_admitted.route->resumable) {
+        m_events = protocol::EventSequence(m_admitted.fields.lastEventId);
+    }
     std::optional<Response> targetErrorResponse; // Sent if no later attempt gets a better response.
     std::size_t unreachable = 0;
     for (;;) {
@@ -433,10 +436,7 @@
     fields.targetId = decision.target.id;
     fields.customer = m_admitted.customer;
     fields.deadline = m_admitted.deadline - now;
-    fields.lastEventId = m_lastEventId ? m_lastEventId : m_admitted.fields.lastEventId;
-    if (m_attempt && m_attempt->lastEventId()) {
-        fields.lastEventId = m_attempt->lastEventId();
-    }
+    fields.lastEventId = m_events.lastEventId() ? m_events.lastEventId() : m_admitted.fields.lastEventId;
     m_context.codec.prepareForward(request, fields);
     request.prepare_payload();
     return request;
@@ -462,13 +462,16 @@
 asio::awaitable<AttemptResult> Exchange::finishAttempt(bool begun, AttemptResult result)
 {
     const state::entry::TargetEntry entry = m_decision->target;
+    if (m_streamStarted) {
+        m_events.resume();
+    }
     const bool streaming = m_admitted.route->kind == RequestKind::Streaming;
     result = co_await m_attempt->finish(begun, std::move(result), streaming, *this);
-    if (m_attempt->lastEventId()) {
-        m_lastEventId = m_attempt->lastEventId();
-    }
     m_attempt.reset();
     co_await classifyFailure(result, entry);
+    if (m_streamStarted && result.response) {
+        recordRefusal(result);
+    }
     if (result.outcome == AttemptOutcome::Unreachable) {
         m_triedTargets.pop_back(); // Nothing was sent. The ejection of the target keeps the request away from it.
     }
@@ -543,7 +546,7 @@
 bool Exchange::mayRetry(const AttemptResult &result)
 {
     const bool ended = result.outcome == AttemptOutcome::Served || result.outcome == AttemptOutcome::Abandoned;
-    if (ended || m_state != State::Open || m_admitted.deadline - m_context.now() < MinRetryTime) {
+    if (ended || !mayContinue() || m_state != State::Open || m_admitted.deadline - m_context.now() < MinRetryTime) {
         return false;
     }
     if (m_handover.committed()) {
@@ -565,10 +568,26 @@
 
 bool Exchange::mayTryAnotherTarget(state::Time now) const
 {
-    return m_state == State::Open && m_triedTargets.size() < m_admitted.route->maxTargets
+    return m_state == State::Open && mayContinue() && m_triedTargets.size() < m_admitted.route->maxTargets
         && m_admitted.deadline - now >= MinRetryTime;
 }
 
+/** Returns whether another target can continue what the caller has received. */
+bool Exchange::mayContinue() const
+{
+    return !m_streamStarted || m_events.resumable();
+}
+
+/** Processes a response that takes the place of the rest of a stream. Nothing of it may reach the caller. */
+void Exchange::recordRefusal(AttemptResult &result)
+{
+    if (result.outcome == AttemptOutcome::Served) {
+        result.outcome = AttemptOutcome::Broken;
+        result.detail = "status " + std::to_string(result.response->result_int()) + " in place of an event stream";
+    }
+    result.response.reset();
+}
+
 Response Exchange::finalResponse(AttemptResult result)
 {
     if (result.response && result.outcome != AttemptOutcome::NotExecuted
@@ -644,6 +663,17 @@
     }
 }
 
+bool Exchange::take(const protocol::ServerSentEvent &event)
+{
+    // Once another target goes on after the last event, the first one must add none.
+    return !m_handover.committed() && m_events.take(event);
+}
+
+bool Exchange::mayEnd() const
+{
+    return !m_events.resuming();
+}
+
 void Exchange::firstEvent()
 {
     const state::Time now = m_context.now();
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry/scheduler.h"
+#include "protocol/eventsequence.h"
 #include "transport/entry/requestadmission.h"
 #include "transport/entry/responses.h"
 #include "transport/entry/servingcontext.h"
@@ -48,6 +49,8 @@
     boost::asio::awaitable<void>
     handoverFailed(coordination::entry::Decision decision, AttemptResult result, bool rejected) override;
 
+    bool take(const protocol::ServerSentEvent &event) override;
+    bool mayEnd() const override;
     void firstEvent() override;
     boost::asio::awaitable<bool> writeEvents(const WireCodec::ResponseHeader &head, std::string events) override;
 
@@ -70,6 +73,8 @@
     void recordFailure(const AttemptResult &result, const state::entry::TargetEntry &entry);
     bool mayRetry(const AttemptResult &result);
     bool mayTryAnotherTarget(state::Time now) const;
+    bool mayContinue() const;
+    void recordRefusal(AttemptResult &result);
     Response finalResponse(AttemptResult result);
     boost::asio::awaitable<bool> serve();
     void giveBackTarget();
@@ -98,8 +103,9 @@
     std::shared_ptr<TargetAttempt> m_attempt;
     TargetHandover m_handover;
     std::vector<std::string> m_triedTargets;
-    std::vector<std::string> m_rejectingTargets; /**< that did not take over from a silent one */
-    std::optional<std::uint64_t> m_lastEventId; /**< last event that reached the caller */
+    std::vector<std::string>
+        m_rejectingTargets; /**< that refused to go on with a stream or to take over; not counted as tried */
+    protocol::EventSequence m_events; /**< that reached the caller */
     std::optional<state::Time> m_firstEventAt;
     state::Time m_lastEventAt{};
     state::Time m_dispatched{}; /**< of the current attempt */
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -331,6 +331,9 @@
             [&]() -> state::Result<bool> {
                 BOOST_LEAF_AUTO(parsed, events.feed(bytes));
                 for (auto &event : parsed) {
+                    if (!sink.take(event)) {
+                        return state::fail("stream.order", "", "event that does not follow the ones before it");
+                    }
                     complete += event.raw;
                     ++result.events;
                 }
@@ -341,11 +344,11 @@
                 return false;
             });
         const bool ended = readable && m_parser->is_done();
-        if (ended && !events.insideEvent()) {
+        if (ended && wellFormed && !events.insideEvent()) {
             complete += events.incomplete();
         }
         if (!complete.empty()) {
-            if (result.events > 0 && !m_lastEventId) {
+            if (result.events > 0 && !std::exchange(m_eventsForwarded, true)) {
                 sink.firstEvent();
             }
             m_inactivityDeadline.reset();
@@ -354,12 +357,11 @@
                 abort();
                 co_return;
             }
-            m_lastEventId = events.lastEventId();
             startInactivityTimer(m_timeouts.betweenEvents);
         }
         // The end of the connection alone does not tell a complete stream from one that was cut.
         const bool cut = ended && (events.insideEvent() || (m_parser->need_eof() && result.events == 0));
-        if (cut) {
+        if (cut && wellFormed) {
             result.detail = "stream ended inside an event or before the first one";
         }
         if (!readable || !wellFormed || cut) {
@@ -367,6 +369,11 @@
             co_return;
         }
     }
+    if (!sink.mayEnd()) {
+        result.outcome = AttemptOutcome::Broken;
+        result.detail = "resumed stream ended without an event";
+        co_return;
+    }
     result.streamComplete = true;
     result.outcome = AttemptOutcome::Served;
     returnConnection();
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -22,6 +22,12 @@
 public:
     virtual ~StreamSink() = default;
 
+    /** Takes @p event if it may follow those of this and of earlier attempts; returns whether it does. */
+    virtual bool take(const protocol::ServerSentEvent &event) = 0;
+
+    /** Returns whether the end of the response may be that of the stream. */
+    virtual bool mayEnd() const = 0;
+
     /** Called when the first event has arrived. */
     virtual void firstEvent() = 0;
 
@@ -98,12 +104,6 @@
     /** Ends the attempt because the target is silent. */
     void giveUpSilent();
 
-    /** Returns the id of the last event that was forwarded. */
-    std::optional<std::uint64_t> lastEventId() const
-    {
-        return m_lastEventId;
-    }
-
     /** Returns whether the request may have reached the target. */
     bool sent() const
     {
@@ -130,10 +130,10 @@
     std::optional<HeadParser> m_parser;
     ResponseFields m_response; /**< of the header in the parser */
     std::shared_ptr<bool> m_bodySent = std::make_shared<bool>(false);
-    std::optional<std::uint64_t> m_lastEventId;
     std::optional<state::Time> m_inactivityDeadline;
     bool m_isHead = false; /**< the request asks for the header of a response only */
     bool m_firstOnConnection = true; /**< no other request was sent on the connection before */
+    bool m_eventsForwarded = false;
     bool m_sent = false;
     bool m_aborted = false;
     bool m_stalled = false;
