Try a further target after a refusal to resume a stream

A stream that had begun and broke off was given up when the next target refused it as "not run", although the route's largest number of targets limits those that run a request.

Change: for a stream that has begun, up to two targets that state that they did not run it are not counted as tried. They are not asked again, and each further attempt is still charged to the retry budget.

Measured: "a stream goes on at a further target after some have refused it" failed before (the stream broke off after the first refusal) and passes now; with a third refusal the stream is given up.

--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -50,6 +50,12 @@
 /** Largest share of the time left for a request that a silent target may use up. */
 constexpr double MaxSilenceShare = 0.5;
 
+/**
+ * Targets that may refuse to resume a stream without being counted as tried. They did not run it, but a caller does not
+ * wait for many.
+ */
+constexpr std::size_t MaxUncountedRefusals = 2;
+
 /** Number of attempts without a connection after which a request is refused. */
 constexpr std::size_t MaxUnreachableAttempts = 3;
 
@@ -568,7 +574,8 @@
 
 bool Exchange::mayTryAnotherTarget(state::Time now) const
 {
-    return m_state == State::Open && mayContinue() && m_triedTargets.size() < m_admitted.route->maxTargets
+    const std::size_t counted = m_triedTargets.size() - m_uncountedRefusals;
+    return m_state == State::Open && mayContinue() && counted < m_admitted.route->maxTargets
         && m_admitted.deadline - now >= MinRetryTime;
 }
 
@@ -581,7 +588,10 @@
 /** Processes a response that takes the place of the rest of a stream. Nothing of it may reach the caller. */
 void Exchange::recordRefusal(AttemptResult &result)
 {
-    if (result.outcome == AttemptOutcome::Served) {
+    const bool notRun = result.outcome == AttemptOutcome::NotExecuted || result.outcome == AttemptOutcome::Misdirected;
+    if (notRun && m_uncountedRefusals < MaxUncountedRefusals) {
+        ++m_uncountedRefusals;
+    } else if (result.outcome == AttemptOutcome::Served) {
         result.outcome = AttemptOutcome::Broken;
         result.detail = "status " + std::to_string(result.response->result_int()) + " in place of an event stream";
     }
--- a/tests/transport/entry/testresumedstreams.cpp
+++ b/tests/transport/entry/testresumedstreams.cpp
@@ -187,6 +187,25 @@
     CHECK_FALSE(response.ends_with(LastChunk));
 }
 
+TEST_CASE("a stream goes on at a further target after some have refused it", "[entry][host][resume]")
+{
+    const std::string refusal = error(503, "X-Not-Executed: 1\r\n");
+    const std::string rest = head(seal("s2") + length(event(3).size())) + event(3);
+    const std::size_t refusals = GENERATE(1U, 2U, 3U);
+    CAPTURE(refusals);
+    std::vector<std::string> answers(refusals, refusal);
+    answers.push_back(rest);
+    BrokenStream stream(answers);
+    const std::string response = stream.call();
+    checkFirstOnly(response);
+    // The route allows two targets; two refusals that state that nothing ran are not counted.
+    const bool continued = refusals <= 2;
+    CHECK(count(response, event(3)) == (continued ? 1 : 0));
+    CHECK(response.ends_with(LastChunk) == continued);
+    CHECK(stream.asked() == (continued ? refusals + 2 : 4));
+    CHECK(stream.resumedAtLastEvent());
+}
+
 TEST_CASE("a stream whose events have no ids is not resumed", "[entry][host][resume]")
 {
     std::atomic<int> asked = 0;
