Use one list for targets that refused to go on with a request

Two counts of the same thing had come together: targets that refused to take over from a silent one, and targets that refused to resume a broken stream. Both are now kept out of the count of targets tried by one list, at most two for a request.

--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -51,17 +51,14 @@
 constexpr double MaxSilenceShare = 0.5;
 
 /**
- * Targets that may refuse to resume a stream without being counted as tried. They did not run it, but a caller does not
- * wait for many.
+ * Targets that may refuse to go on with a stream, or to take over from a silent target, without being counted as tried.
+ * They did not run the request, but a caller does not wait for many.
  */
 constexpr std::size_t MaxUncountedRefusals = 2;
 
 /** Number of attempts without a connection after which a request is refused. */
 constexpr std::size_t MaxUnreachableAttempts = 3;
 
-/** Number of targets that may refuse to take over a request from a silent one. */
-constexpr std::size_t MaxRejections = 3;
-
 /** Time before the end of the shutdown grace at which a request without an answer is refused or fails. */
 constexpr state::Duration AnswerReserve = std::chrono::milliseconds(600);
 
@@ -332,7 +329,7 @@
 {
     const std::size_t hosts = m_context.fleet.hosts(now);
     const bool possible = m_handover.mayBegin(now) && repeatable() && mayTryAnotherTarget(now)
-        && m_rejectingTargets.size() < MaxRejections
+        && m_rejectingTargets.size() < MaxUncountedRefusals
         && m_context.scheduler.retryBudget().available(m_admitted.service, hosts, now);
     if (!possible) {
         return;
@@ -574,8 +571,7 @@
 
 bool Exchange::mayTryAnotherTarget(state::Time now) const
 {
-    const std::size_t counted = m_triedTargets.size() - m_uncountedRefusals;
-    return m_state == State::Open && mayContinue() && counted < m_admitted.route->maxTargets
+    return m_state == State::Open && mayContinue() && m_triedTargets.size() < m_admitted.route->maxTargets
         && m_admitted.deadline - now >= MinRetryTime;
 }
 
@@ -589,8 +585,9 @@
 void Exchange::recordRefusal(AttemptResult &result)
 {
     const bool notRun = result.outcome == AttemptOutcome::NotExecuted || result.outcome == AttemptOutcome::Misdirected;
-    if (notRun && m_uncountedRefusals < MaxUncountedRefusals) {
-        ++m_uncountedRefusals;
+    if (notRun && m_rejectingTargets.size() < MaxUncountedRefusals) {
+        m_rejectingTargets.push_back(std::move(m_triedTargets.back()));
+        m_triedTargets.pop_back();
     } else if (result.outcome == AttemptOutcome::Served) {
         result.outcome = AttemptOutcome::Broken;
         result.detail = "status " + std::to_string(result.response->result_int()) + " in place of an event stream";
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -106,7 +106,6 @@
     std::vector<std::string>
         m_rejectingTargets; /**< that refused to go on with a stream or to take over; not counted as tried */
     protocol::EventSequence m_events; /**< that reached the caller */
-    std::size_t m_uncountedRefusals = 0; /**< targets that refused to resume the stream and are not counted as tried */
     std::optional<state::Time> m_firstEventAt;
     state::Time m_lastEventAt{};
     state::Time m_dispatched{}; /**< of the current attempt */
