Count only connections with a request in scripted targets

Two tests of the entry host fail at times once each broken attempt asks whether its target accepts connections: "a non-idempotent request is sent once" saw 2 requests, one of them empty. The scripted target took the connection that only asks for a request without a byte.

The target now waits for the first byte and counts, numbers and answers connections with a request.

--- a/tests/transport/loopback.h
+++ b/tests/transport/loopback.h
@@ -136,7 +136,10 @@
     std::string m_input;
 };
 
-/** Target that runs a script for each connection, with the connection's number and its request. */
+/**
+ * Target that runs a script for each connection with a request, with their number and the request. A connection that
+ * ends without a byte is none: a host only asks whether the target accepts connections.
+ */
 class ScriptedTarget
 {
 public:
@@ -186,19 +189,22 @@
 private:
     void run()
     {
-        for (int number = 0;; ++number) {
+        for (int number = 0;;) {
             tcp::socket socket = m_acceptor.accept();
             if (m_stopping) {
                 return;
             }
             BlockingConnection connection(std::move(socket));
             const std::string request = connection.readRequest();
+            if (request.empty()) {
+                continue;
+            }
             {
                 const std::lock_guard lock(m_mutex);
                 m_requests.push_back(request);
             }
             m_changed.notify_all();
-            m_script(number, request, connection);
+            m_script(number++, request, connection);
         }
     }
 
