Read the newest records beside an odd one

Cause: decodeNewest() failed the whole page of the store's newest records if one item had no key or no valid value, or if a key was not UTF-8. A host that starts, or that reads a topic again after a restore, repeats that read until it succeeds: with one such record in the list it would never become ready.

Keys may hold any bytes.

--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -6,10 +6,12 @@
 
 namespace sapphirecove::protocol {
 
-state::Result<json::value> parseJson(std::string_view text, std::string_view step, std::string_view peer)
+state::Result<json::value>
+parseJson(std::string_view text, std::string_view step, std::string_view peer, StringBytes stringBytes)
 {
     json::parse_options options;
     options.max_depth = MaxJsonDepth;
+    options.allow_invalid_utf8 = stringBytes == StringBytes::Any;
     const std::size_t limit = text.size() * ParseMemoryPerByte + ParseMemoryBase;
     const json::storage_ptr memory = json::make_shared_resource<BoundedMemoryResource>(limit);
     try {
--- a/src/protocol/json.h
+++ b/src/protocol/json.h
@@ -23,11 +23,21 @@
 /** Bytes of memory that parsing may use regardless of the length of the text. */
 constexpr std::size_t ParseMemoryBase = 65536;
 
+/** Bytes that strings of a JSON text may hold. */
+enum class StringBytes {
+    Utf8,
+    Any, /**< also such as other writers have left in the strings of an otherwise sound text */
+};
+
 /**
- * Parses @p text as one JSON value. Fails with @p step and @p peer if it is malformed, not valid UTF-8, nested deeper
- * than MaxJsonDepth or takes too much memory. Time is linear in the length of @p text, which the caller must bound.
+ * Parses @p text as one JSON value. Fails with @p step and @p peer if it is malformed, holds other bytes than
+ * @p stringBytes allows, is nested deeper than MaxJsonDepth or takes too much memory. Time is linear in the length of
+ * @p text, which the caller must bound.
  */
-state::Result<json::value> parseJson(std::string_view text, std::string_view step, std::string_view peer);
+state::Result<json::value> parseJson(std::string_view text,
+                                     std::string_view step,
+                                     std::string_view peer,
+                                     StringBytes stringBytes = StringBytes::Utf8);
 
 /** Returns @p text as a std::string_view. */
 inline std::string_view viewOf(const json::string &text)
