Count connections without a request where a test is about connections

"without a retry in the budget no other target is connected to" counted requests, which since the last change of the scripted target no longer include connections without one. It now counts connections, as strictly as before.

--- a/tests/transport/entry/testrequestsinhand.cpp
+++ b/tests/transport/entry/testrequestsinhand.cpp
@@ -201,7 +201,7 @@
     bounds.retrySlack = 0;
     BoundedHost host(bounds, { one.port(), two.port() }, 4);
     CHECK(contains(host.call(), " 200 "));
-    CHECK(one.requests().size() + two.requests().size() == 1); // connections without a request count as well
+    CHECK(one.connections() + two.connections() == 1);
 }
 
 // Guards against LOST: a stopping host ends with requests in hand and answers none of them.
--- a/tests/transport/loopback.h
+++ b/tests/transport/loopback.h
@@ -170,6 +170,12 @@
         return m_port;
     }
 
+    /** Returns the number of connections so far, also of those without a request. */
+    std::size_t connections() const
+    {
+        return m_connections;
+    }
+
     /** Requests received so far. */
     std::vector<std::string> requests()
     {
@@ -194,6 +200,7 @@
             if (m_stopping) {
                 return;
             }
+            ++m_connections;
             BlockingConnection connection(std::move(socket));
             const std::string request = connection.readRequest();
             if (request.empty()) {
@@ -213,6 +220,7 @@
     tcp::acceptor m_acceptor;
     std::uint16_t m_port;
     std::atomic<bool> m_stopping = false;
+    std::atomic<std::size_t> m_connections = 0;
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::vector<std::string> m_requests;
