Keep the numbers and names of records within their ranges

Entries of other writers and odd configurations hold numbers that fit no field here.

Cause: counts were narrowed to 32 bits, so that slots became one and bytes of header none; a target with a billion slots attracted all requests; 1e400 became infinite, and its conversion to an integer is undefined; a rank of -1 became 255 between hosts. An id with a line break added a header field to the requests for its target, and names of more than 255 bytes were cut off in messages between hosts, so that they no longer matched.

--- a/src/protocol/quotausecodec.cpp
+++ b/src/protocol/quotausecodec.cpp
@@ -39,10 +39,10 @@
         }
         for (std::size_t i = 0; i < use.slices.size(); ++i) {
             const json::value &amount = (*slices)[i];
-            if (!amount.is_number() || amount.to_number<double>() < 0) {
-                return state::fail(step, use.customer, "an amount is negative or not a number");
+            use.slices[i] = amount.is_number() ? amount.to_number<double>() : -1;
+            if (!std::isfinite(use.slices[i]) || use.slices[i] < 0) {
+                return state::fail(step, use.customer, "an amount is negative or not a finite number");
             }
-            use.slices[i] = amount.to_number<double>();
         }
         result.push_back(std::move(use));
     }
--- a/tests/transport/entry/testoddentries.cpp
+++ b/tests/transport/entry/testoddentries.cpp
@@ -120,3 +120,23 @@
     store.write(Topic::Operator, "config", configurationDocument(3, "/new/"));
     CHECK(host.comesTo("/new/", "second"));
 }
+
+// Guards against an id that adds a header field to the requests for its target, and slots that attract all requests.
+TEST_CASE("targets whose entries are out of range get no requests", "[entry][host][odd]")
+{
+    const auto sound = namedTarget("sound");
+    const auto odd = namedTarget("odd");
+    RestorableStore store;
+    store.write(Topic::Operator, "config", configurationDocument(2));
+    store.write(Topic::Targets, "a\r\nX-Hold: 1", targetDocument(addressOf(*odd)));
+    store.write(Topic::Targets, std::string(1000000, 'i'), targetDocument(addressOf(*odd)));
+    store.write(Topic::Targets, "b", targetDocument(addressOf(*odd), R"(,"concurrency":4294967297)"));
+    store.write(Topic::Targets, "c", targetDocument(addressOf(*odd), R"(,"concurrency":1000000000)"));
+    store.write(Topic::Targets, "m", targetDocument(addressOf(*sound)));
+    StoreHost host(store, "host-1", true);
+    REQUIRE(host.comesTo(std::string(Path), "sound"));
+    for (int i = 0; i < 20; ++i) {
+        host.call(std::string(Path));
+    }
+    CHECK(odd->requests().empty());
+}
