Use a configuration that an odd one follows

Cause: of the configurations in one page of the operator's topic only the last one was decoded. If that one was malformed, a sound one before it was skipped, and the offset had moved on: the host kept the old configuration.

Change: the newest configuration of the page that can be decoded is used.

Measured: "a configuration is in force although an odd one follows it" failed before and passes now.

--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -755,10 +755,10 @@
 
 void StoreFollower::applyOperator(const std::vector<StoreRecord> &records)
 {
-    // Only the newest configuration of a page is decoded, because configurations may come in quick succession. After a
-    // restore they may be written again in another order.
+    // Only the newest sound configuration of a page is decoded, because configurations may come in quick succession.
+    // After a restore they may be written again in another order.
     const bool inOrder = !mayHoldOldRecords();
-    const StoreRecord *configuration = nullptr;
+    std::vector<const StoreRecord *> configurations;
     for (const auto &record : records) {
         if (!record.value) {
             continue;
@@ -766,13 +766,13 @@
         if (m_context.codec.classify(record.key) != OperatorRecord::Configuration) {
             provideToPeers(record);
         } else if (inOrder) {
-            configuration = &record;
+            configurations.push_back(&record);
         } else {
             useConfiguration(record);
         }
     }
-    if (configuration != nullptr) {
-        useConfiguration(*configuration);
+    while (!configurations.empty() && !useConfiguration(*configurations.back())) {
+        configurations.pop_back();
     }
     for (const auto &record : records) {
         if (record.value && m_context.codec.classify(record.key) == OperatorRecord::RolloutOrder) {
@@ -782,14 +782,16 @@
 }
 
 /**
- * Puts a configuration in force if it is newer. Other hosts must not get one that this host does not use, such as that
- * of a restored store.
+ * Puts a configuration in force if it is newer; returns whether it could be decoded. Other hosts must not get one that
+ * this host does not use, such as that of a restored store.
  */
-void StoreFollower::useConfiguration(const StoreRecord &record)
+bool StoreFollower::useConfiguration(const StoreRecord &record)
 {
-    if (applyConfiguration(record)) {
+    const auto inForce = applyConfiguration(record);
+    if (inForce.value_or(false)) {
         provideToPeers(record);
     }
+    return inForce.has_value();
 }
 
 /** Makes @p record the one of its key that other hosts get from this one. */
@@ -799,18 +801,21 @@
     m_encodedRecords.clear();
 }
 
-/** Puts the configuration in @p record in force; returns false if it is not newer than the one in force. */
-bool StoreFollower::applyConfiguration(const StoreRecord &record)
+/**
+ * Puts the configuration in @p record in force. Returns false if it is not newer than the one in force, and nothing if
+ * it cannot be decoded.
+ */
+std::optional<bool> StoreFollower::applyConfiguration(const StoreRecord &record)
 {
     return applyRecord(
         record,
-        [&]() -> state::Result<bool> {
+        [&]() -> state::Result<std::optional<bool>> {
             BOOST_LEAF_AUTO(table, m_context.codec.decodeConfiguration(*record.value));
             const std::uint64_t before = knownVersion();
             // A host without a configuration waits for the newest one, rather than serve one that was superseded.
             const bool usable = m_context.table ? table.version() > before : !isOutdated(table.version());
             if (!usable) {
-                return false;
+                return std::optional(false);
             }
             const bool usageKnown = m_context.settings.firstStart || m_context.table;
             m_context.scheduler.quotas().configure(table, usageKnown, m_context.now());
@@ -821,11 +826,11 @@
                        { "customers", std::to_string(table.customers().size()) } });
             m_context.table = std::make_shared<const state::entry::RoutingTable>(std::move(table));
             m_context.configurationInForce = m_context.now();
-            return true;
+            return std::optional(true);
         },
         [](const state::Failure &failure) {
             logFailure("configuration_rejected", failure);
-            return false;
+            return std::optional<bool>();
         });
 }
 
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -91,8 +91,8 @@
     void adoptOffset(const protocol::OperatorState &fetched);
     void recordReadResult(StoreTopic topic, TopicState &topicState, const StorePage &page);
     void applyOperator(const std::vector<StoreRecord> &records);
-    bool applyConfiguration(const StoreRecord &record);
-    void useConfiguration(const StoreRecord &record);
+    std::optional<bool> applyConfiguration(const StoreRecord &record);
+    bool useConfiguration(const StoreRecord &record);
     void provideToPeers(const StoreRecord &record);
     void applyRollout(const StoreRecord &record);
     void applyTargets(const StorePage &page, bool complete, const TopicState &topicState);
--- a/tests/transport/entry/restorablestore.h
+++ b/tests/transport/entry/restorablestore.h
@@ -32,6 +32,13 @@
         m_topics[topic].push_back({ key, std::move(value) });
     }
 
+    /** Writes @p records so that one read returns them all. */
+    void writeAll(Topic topic, const std::vector<Record> &records)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_topics[topic].insert(m_topics[topic].end(), records.begin(), records.end());
+    }
+
     /** Makes calls fail until restore(). */
     void goAway()
     {
--- a/tests/transport/entry/testoddentries.cpp
+++ b/tests/transport/entry/testoddentries.cpp
@@ -140,3 +140,20 @@
     }
     CHECK(odd->requests().empty());
 }
+
+// Guards against a sound configuration that is skipped because an odd one follows in the same page.
+TEST_CASE("a configuration is in force although an odd one follows it", "[entry][host][odd]")
+{
+    const auto target = namedTarget("target");
+    RestorableStore store;
+    store.write(Topic::Operator, "config", configurationDocument(2));
+    store.write(Topic::Targets, "m", targetDocument(addressOf(*target)));
+    StoreHost host(store, "host-1", true);
+    REQUIRE(host.comesTo(std::string(Path), "target"));
+    store.writeAll(Topic::Operator,
+                   { { "config", configurationDocument(3, "/new/") },
+                     { "config", nested(10000) },
+                     { "config", R"({"version":1e400,"routes":[]})" },
+                     { "rollout/\xff", "\xfe" } });
+    CHECK(host.comesTo("/new/", "target"));
+}
