Leave records that are not UTF-8 out of what other hosts get

Cause: a host that starts gets the operator's records from another host. One record with bytes that are not UTF-8 made the whole document malformed for the host that asked, which then had no configuration but from the store.

Change: such records, which name nothing to use, are left out.

Measured: "a host that starts gets the configuration of another one beside odd records" failed before and passes now.

--- a/src/protocol/operatorstatecodec.cpp
+++ b/src/protocol/operatorstatecodec.cpp
@@ -1,6 +1,7 @@
 #include "protocol/operatorstatecodec.h"
 
 #include "protocol/json.h"
+#include "protocol/utf8.h"
 
 namespace sapphirecove::protocol {
 
@@ -8,7 +9,10 @@
 {
     json::object records;
     for (const auto &[key, document] : state.records) {
-        records.emplace(key, document);
+        // A record that is not UTF-8 names nothing to use, and would keep other hosts from reading the others.
+        if (isValidUtf8(key) && isValidUtf8(document)) {
+            records.emplace(key, document);
+        }
     }
     json::object object;
     object.emplace("next", state.next);
--- a/tests/transport/entry/testoddentries.cpp
+++ b/tests/transport/entry/testoddentries.cpp
@@ -1,7 +1,9 @@
+#include "protocol/operatorstatecodec.h"
 #include "tests/transport/entry/storehost.h"
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -157,3 +159,21 @@
                      { "rollout/\xff", "\xfe" } });
     CHECK(host.comesTo("/new/", "target"));
 }
+
+// Guards against a record that keeps other hosts from reading the operator's records from this one.
+TEST_CASE("a host that starts gets the configuration of another one beside odd records", "[entry][host][odd]")
+{
+    const std::map<std::string, std::string> records{ { "config", configurationDocument(2) },
+                                                      { "rollout/\xff", "{}" },
+                                                      { "rollout/s", "\xfe" } };
+    const protocol::OperatorState state{ 7, 1, records };
+    const bool decoded = state::handleFailure(
+        [&]() -> state::Result<bool> {
+            BOOST_LEAF_AUTO(read, protocol::decodeOperatorState(protocol::encodeOperatorState(state), ""));
+            return read.records.at("config") == configurationDocument(2) && read.next == 7;
+        },
+        [](const state::Failure &) {
+            return false;
+        });
+    CHECK(decoded);
+}
