Blame a part after one crash at a request that does not explain the others

After a request was blocked, a part of its prompt was blamed only after two more crashes at other requests.

The test of a sound request at a target that crashed for another reason now has an answer to that part before, which is what acquits it; the one of a deadly part needs one crash less.

--- a/src/coordination/entry/crashsuspects.cpp
+++ b/src/coordination/entry/crashsuspects.cpp
@@ -25,12 +25,6 @@
 /** Most doublings of the quarantine. */
 constexpr std::size_t MaxDoublings = 5;
 
-/**
- * Crashes at other requests from which on a part is to blame beside a request that crashes targets by itself. One may
- * have any cause.
- */
-constexpr std::size_t CrashesBesideRequest = 2;
-
 /** Time after which another trial may be sent if the outcome of one remains unknown: the longest wait of callers. */
 constexpr state::Duration TrialTimeout = std::chrono::seconds(30);
 
@@ -530,7 +524,6 @@
 {
     Crashes crashes = accused.crashes;
     Crashes withoutSubsets = accused.crashes;
-    bool oneRequestExplains = false;
     for (const std::uint64_t otherPart : m_repeated) {
         if (otherPart == part) {
             continue;
@@ -541,7 +534,6 @@
         };
         const bool isSubset = other.requests < accused.requests
             && std::binary_search(other.companions.begin(), other.companions.end(), part);
-        oneRequestExplains = oneRequestExplains || (isSubset && isRequestSuspect(otherPart));
         const bool explained = explains(otherPart, other, accused);
         if (explained) {
             std::erase_if(crashes, isCommon);
@@ -551,8 +543,7 @@
         }
     }
     // If some of the requests with the part explain all its crashes, the others are not to blame.
-    const std::size_t needed = oneRequestExplains ? CrashesBesideRequest : 1;
-    return separateCount(withoutSubsets) < needed ? 0 : separateCount(crashes);
+    return withoutSubsets.empty() ? 0 : separateCount(crashes);
 }
 
 void CrashSuspects::updateBlocked()
