Rename TargetLimits to TargetStatements

Targets state more about themselves than a limit. One kind of record is to hold all of it, so the class, the entries of messages and the accessor get a name that fits. No change of behaviour.

--- a/src/coordination/entry/decidermessages.h
+++ b/src/coordination/entry/decidermessages.h
@@ -83,8 +83,8 @@
     state::Duration confirmedAge{}; /**< since the metadata store last certainly held that version as its newest */
     std::uint32_t liveHosts = 0; /**< hosts whose reports it gets, itself included */
     std::vector<QuotaShare> quotas; /**< use by all hosts */
-    std::uint32_t limitsDigest = 0; /**< see TargetLimits::digest() */
-    std::vector<LimitShare> limits; /**< only sent if the digest differs from that of the report */
+    std::uint32_t statementsDigest = 0; /**< see TargetStatements::digest() */
+    std::vector<StatementShare> statements; /**< only sent if the digest differs from that of the report */
     std::uint32_t suspectsDigest = 0; /**< see CrashSuspects::digest() */
     std::vector<PartEvidence> suspects; /**< only sent if the digest differs from that of the report */
 };
--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -136,7 +136,7 @@
 void FleetScheduler::received(const ReportReply &reply, state::Time now)
 {
     m_directory.reportAnswered(reply, state::timeFromMicroseconds(reply.reportSentAt));
-    m_scheduler.limits().merge(reply.limits, now);
+    m_scheduler.statements().merge(reply.statements, now);
     m_scheduler.suspects().merge(reply.suspects, now);
     // Deciders know the usage from the reports. If they also took it from each other, it would never decrease.
     if (!reply.quotas.empty() && !m_directory.isCandidate(now) && !isActiveDecider(now)) {
@@ -148,7 +148,7 @@
 {
     m_remoteRequests.handleReport(report, now);
     m_scheduler.quotas().peerReported(report, now);
-    m_scheduler.limits().peerReported(report, now);
+    m_scheduler.statements().peerReported(report, now);
     m_scheduler.suspects().merge(report.suspects, now);
     if (m_scheduler.waiting() > 0) {
         decide(now);
@@ -165,10 +165,10 @@
     reply.canDecide = canDecide(now);
     reply.qualified = qualified(now);
     reply.liveHosts = static_cast<std::uint32_t>(peers.liveHosts());
-    TargetLimits &limits = m_scheduler.limits();
-    reply.limitsDigest = limits.digest();
-    if (reply.limitsDigest != report.limitsDigest) {
-        reply.limits = limits.shares(now);
+    TargetStatements &statements = m_scheduler.statements();
+    reply.statementsDigest = statements.digest();
+    if (reply.statementsDigest != report.statementsDigest) {
+        reply.statements = statements.shares(now);
     }
     const CrashSuspects &suspects = m_scheduler.suspects();
     reply.suspectsDigest = suspects.digest();
@@ -206,7 +206,7 @@
                            std::uint32_t deciderHash,
                            state::Time now)
 {
-    m_scheduler.limits().sent(decision.targetHash, deciderHash, now);
+    m_scheduler.statements().sent(decision.targetHash, deciderHash, now);
     const auto tokens = m_promptTokens.find(decision.request);
     m_active[decision.request] = {
         std::string(decider), deciderHash, decision.targetHash, tokens == m_promptTokens.end() ? 0 : tokens->second
@@ -288,8 +288,8 @@
         report.targets.push_back(share);
     }
     m_scheduler.fillReport(report, now);
-    if (differsAtRecipients(&ReportReply::limitsDigest, report.limitsDigest, now)) {
-        report.limits = m_scheduler.limits().shares(now);
+    if (differsAtRecipients(&ReportReply::statementsDigest, report.statementsDigest, now)) {
+        report.statements = m_scheduler.statements().shares(now);
     }
     if (differsAtRecipients(&ReportReply::suspectsDigest, report.suspectsDigest, now)) {
         report.suspects = m_scheduler.suspects().shares(now);
@@ -346,10 +346,10 @@
     const double heardShare = static_cast<double>(peers.liveHosts()) / static_cast<double>(fleet);
     m_scheduler.quotas().setReachableShare(isAsked ? heardShare : ownShare);
     if (isAsked || isDecider) {
-        m_scheduler.limits().setShare(heardShare, now);
+        m_scheduler.statements().setShare(heardShare, now);
     } else {
         // While another host decides, this one must not save up requests for later.
-        m_scheduler.limits().setShare(decider ? 0 : ownShare, now);
+        m_scheduler.statements().setShare(decider ? 0 : ownShare, now);
     }
 }
 
--- a/src/coordination/entry/fleetscheduler.h
+++ b/src/coordination/entry/fleetscheduler.h
@@ -78,9 +78,9 @@
      */
     bool takeUrgentReport()
     {
-        const bool limits = m_scheduler.limits().takeUrgent();
+        const bool statements = m_scheduler.statements().takeUrgent();
         const bool suspects = m_scheduler.suspects().takeUrgent();
-        return limits || suspects;
+        return statements || suspects;
     }
 
     /** Adds the load and counts of this host to its report to the deciders. */
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -31,7 +31,7 @@
 };
 
 /** Limit that a target has stated, as the sender knows it; see TargetLimit. */
-struct LimitShare
+struct StatementShare
 {
     std::uint32_t target = 0; /**< hash of the incarnation */
     float requestsPerSecond = 0;
@@ -93,8 +93,8 @@
     std::vector<ActiveRequest> active;
     std::vector<QuotaShare> quotas;
     std::vector<VersionShare> versions;
-    std::uint32_t limitsDigest = 0; /**< of all limits that the sender knows, see TargetLimits::digest() */
-    std::vector<LimitShare> limits; /**< only sent if a recipient may know others */
+    std::uint32_t statementsDigest = 0; /**< of all limits that the sender knows, see TargetStatements::digest() */
+    std::vector<StatementShare> statements; /**< only sent if a recipient may know others */
     std::vector<SentShare> sent;
     std::uint32_t suspectsDigest = 0; /**< see CrashSuspects::digest() */
     std::vector<PartEvidence> suspects; /**< only sent if a recipient may have other evidence */
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -79,7 +79,7 @@
     : m_peers(self)
     , m_quotas(bounds)
     , m_retryBudget(bounds)
-    , m_limits(self)
+    , m_statements(self)
     , m_suspects(self)
     , m_rollouts(bounds)
     , m_location(std::move(location))
@@ -216,7 +216,7 @@
         const bool open =
             target->usable(now) && m_rollouts.mayUse(request.service, target->entry().softwareVersion, m_deciders);
         if (open && target->hasRoom() && !tried && meetsPauseLimit(*target, request) && mayHold(*target, request, now)
-            && m_limits.mayDispatch(target->hash(), now)) {
+            && m_statements.mayDispatch(target->hash(), now)) {
             fitting.push_back(target);
         }
     }
@@ -260,7 +260,7 @@
     decision.target = target.entry();
     decision.targetHash = target.hash();
     decision.targetRunning = target.running();
-    decision.targetLimit = m_limits.rate(target.hash(), now);
+    decision.targetLimit = m_statements.rate(target.hash(), now);
     decision.expectedFirstMs = target.expectedFirstMs(request.work);
 
     if (m_suspects.isBlocked(request.parts, target.build())) {
@@ -277,7 +277,7 @@
     attempt.expectedOutputTokens = request.expectedOutputTokens;
     attempt.dispatched = now;
     target.dispatched(request.work);
-    m_limits.dispatched(target.hash(), now);
+    m_statements.dispatched(target.hash(), now);
     m_routes.of(request.route, request.work.model).dispatched.add(1, now);
     m_rollouts.dispatched(request.service, target.entry().softwareVersion, request.route);
     attempt.aheadTokens = target.pendingPromptTokens();
@@ -434,7 +434,7 @@
     if (m_targets.expire(now)) {
         targetsChanged();
     }
-    m_limits.expire(now);
+    m_statements.expire(now);
     recordRestarts(now);
     m_suspects.expire(now);
 }
@@ -443,8 +443,8 @@
 {
     report.quotas = m_quotas.shares(now);
     report.versions = m_rollouts.shares();
-    report.limitsDigest = m_limits.digest();
-    report.sent = m_limits.sentShares(now);
+    report.statementsDigest = m_statements.digest();
+    report.sent = m_statements.sentShares(now);
     report.suspectsDigest = m_suspects.digest();
 }
 
@@ -473,7 +473,7 @@
 {
     double slots = 0;
     for (const TargetLoad *target : usableTargets(request.service, now)) {
-        const auto rate = m_limits.rate(target->hash(), now);
+        const auto rate = m_statements.rate(target->hash(), now);
         const double all = target->entry().slots;
         slots += rate ? std::min(all, *rate * request.usualSlotMs / 1000) : all;
     }
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -8,7 +8,7 @@
 #include "coordination/entry/routestatistics.h"
 #include "coordination/entry/scheduledrequest.h"
 #include "coordination/entry/targetchoice.h"
-#include "coordination/entry/targetlimits.h"
+#include "coordination/entry/targetstatements.h"
 #include "coordination/entry/targettable.h"
 #include "coordination/entry/waitingqueue.h"
 #include "state/entry/bounds.h"
@@ -60,9 +60,9 @@
     }
 
     /** Limits that targets state in their responses. */
-    TargetLimits &limits()
+    TargetStatements &statements()
     {
-        return m_limits;
+        return m_statements;
     }
 
     /** Requests and parts of prompts that are suspected of crashing targets. */
@@ -172,7 +172,7 @@
     PeerTable m_peers;
     QuotaTable m_quotas;
     FleetRetryBudget m_retryBudget;
-    TargetLimits m_limits;
+    TargetStatements m_statements;
     CrashSuspects m_suspects;
     std::uint64_t m_blockingsApplied = 0; /**< CrashSuspects::blockings() when waiting requests were last checked */
     RolloutController m_rollouts;
--- a/src/coordination/entry/targetlimits.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -1,4 +1,4 @@
-#include "coordination/entry/targetlimits.h"
+#include "coordination/entry/targetstatements.h"
 
 #include "coordination/entry/messageage.h"
 #include "coordination/entry/shorthash.h"
@@ -69,12 +69,12 @@
 
 } // namespace
 
-TargetLimits::TargetLimits(std::uint32_t self)
+TargetStatements::TargetStatements(std::uint32_t self)
     : m_self(self)
 {
 }
 
-bool TargetLimits::responded(std::uint32_t target, const RateStatement &statement, state::Time now)
+bool TargetStatements::responded(std::uint32_t target, const RateStatement &statement, state::Time now)
 {
     const auto found = m_items.find(target);
     const bool inForce = found != m_items.end() && !found->second.limit.ended;
@@ -106,14 +106,14 @@
     return changed;
 }
 
-void TargetLimits::merge(std::span<const LimitShare> shares, state::Time now)
+void TargetStatements::merge(std::span<const StatementShare> shares, state::Time now)
 {
-    for (const LimitShare &share : shares) {
+    for (const StatementShare &share : shares) {
         merge(share, now);
     }
 }
 
-void TargetLimits::merge(const LimitShare &share, state::Time now)
+void TargetStatements::merge(const StatementShare &share, state::Time now)
 {
     const TargetLimit other{
         share.requestsPerSecond, share.ended, share.revision, now - std::chrono::milliseconds(share.ageMs)
@@ -136,9 +136,9 @@
     }
 }
 
-void TargetLimits::peerReported(const PeerReport &report, state::Time now)
+void TargetStatements::peerReported(const PeerReport &report, state::Time now)
 {
-    merge(report.limits, now);
+    merge(report.statements, now);
     PeerState &peer = m_peers[report.host];
     // What a peer sent before its first report was sent before this host could be asked.
     const bool known = peer.incarnation == report.incarnation;
@@ -158,7 +158,7 @@
     }
 }
 
-void TargetLimits::setShare(double share, state::Time now)
+void TargetStatements::setShare(double share, state::Time now)
 {
     if (share > 0 && m_share <= 0) {
         for (auto &[target, item] : m_items) {
@@ -168,7 +168,7 @@
     m_share = share;
 }
 
-bool TargetLimits::mayDispatch(std::uint32_t target, state::Time now)
+bool TargetStatements::mayDispatch(std::uint32_t target, state::Time now)
 {
     const auto found = m_items.find(target);
     if (found == m_items.end() || !isEffective(found->second.limit, now)) {
@@ -178,7 +178,7 @@
     return found->second.pacer.ready();
 }
 
-void TargetLimits::dispatched(std::uint32_t target, state::Time now)
+void TargetStatements::dispatched(std::uint32_t target, state::Time now)
 {
     const auto found = m_items.find(target);
     if (found != m_items.end()) {
@@ -186,7 +186,7 @@
     }
 }
 
-void TargetLimits::sent(std::uint32_t target, std::uint32_t decider, state::Time now)
+void TargetStatements::sent(std::uint32_t target, std::uint32_t decider, state::Time now)
 {
     if (m_items.contains(target)) {
         Sends &sends = m_sent[{ target, decider }];
@@ -195,13 +195,13 @@
     }
 }
 
-std::optional<double> TargetLimits::rate(std::uint32_t target, state::Time now) const
+std::optional<double> TargetStatements::rate(std::uint32_t target, state::Time now) const
 {
     const TargetLimit *limit = find(target);
     return limit != nullptr && isEffective(*limit, now) ? std::optional(rateOf(*limit, now)) : std::nullopt;
 }
 
-std::uint32_t TargetLimits::digest() const
+std::uint32_t TargetStatements::digest() const
 {
     std::uint32_t digest = 0;
     for (const auto &[target, item] : m_items) {
@@ -212,9 +212,9 @@
     return digest;
 }
 
-std::vector<LimitShare> TargetLimits::shares(state::Time now)
+std::vector<StatementShare> TargetStatements::shares(state::Time now)
 {
-    std::vector<LimitShare> result;
+    std::vector<StatementShare> result;
     auto entry = m_items.lower_bound(m_nextShared);
     while (result.size() < std::min(m_items.size(), MaxShared)) {
         entry = entry == m_items.end() ? m_items.begin() : entry;
@@ -230,7 +230,7 @@
     return result;
 }
 
-std::vector<SentShare> TargetLimits::sentShares(state::Time now) const
+std::vector<SentShare> TargetStatements::sentShares(state::Time now) const
 {
     std::vector<SentShare> result;
     for (const auto &[key, sends] : m_sent) {
@@ -241,7 +241,7 @@
     return result;
 }
 
-void TargetLimits::expire(state::Time now)
+void TargetStatements::expire(state::Time now)
 {
     std::erase_if(m_items, [now](const auto &entry) {
         return now - entry.second.limit.statedAt > keepFor(entry.second.limit);
@@ -258,23 +258,23 @@
     }
 }
 
-std::vector<std::uint32_t> TargetLimits::takeLearned()
+std::vector<std::uint32_t> TargetStatements::takeLearned()
 {
     return std::exchange(m_learned, {});
 }
 
-bool TargetLimits::takeUrgent()
+bool TargetStatements::takeUrgent()
 {
     return std::exchange(m_urgent, false);
 }
 
-const TargetLimit *TargetLimits::find(std::uint32_t target) const
+const TargetLimit *TargetStatements::find(std::uint32_t target) const
 {
     const auto found = m_items.find(target);
     return found == m_items.end() ? nullptr : &found->second.limit;
 }
 
-std::size_t TargetLimits::inForce() const
+std::size_t TargetStatements::inForce() const
 {
     return static_cast<std::size_t>(std::count_if(m_items.begin(), m_items.end(), [](const auto &entry) {
         return !entry.second.limit.ended;
@@ -282,7 +282,7 @@
 }
 
 /** Returns the item of @p target; a new one starts with the phase of this process. */
-TargetLimits::Item &TargetLimits::itemOf(std::uint32_t target, state::Time now)
+TargetStatements::Item &TargetStatements::itemOf(std::uint32_t target, state::Time now)
 {
     const auto found = m_items.find(target);
     if (found != m_items.end()) {
@@ -292,7 +292,7 @@
 }
 
 /** Returns the requests per second that @p limit leaves to all hosts at @p now. */
-double TargetLimits::rateOf(const TargetLimit &limit, state::Time now)
+double TargetStatements::rateOf(const TargetLimit &limit, state::Time now)
 {
     const double stated = std::max(MinRate, limit.requestsPerSecond);
     if (!limit.ended) {
@@ -302,7 +302,7 @@
     return stated * std::exp2(std::max(0.0, doublings));
 }
 
-bool TargetLimits::isEffective(const TargetLimit &limit, state::Time now)
+bool TargetStatements::isEffective(const TargetLimit &limit, state::Time now)
 {
     return !limit.ended || now - limit.statedAt < EndRamp;
 }
--- a/src/coordination/entry/targetlimits.h
+++ b/src/coordination/entry/targetstatements.h
@@ -34,11 +34,11 @@
  * spreads all requests at the stated rate and counts what others decided from the hosts' reports. See setShare() for
  * hosts that do not hear the whole fleet.
  */
-class TargetLimits
+class TargetStatements
 {
 public:
     /** @p self is the processHash() of this process. */
-    explicit TargetLimits(std::uint32_t self = 0);
+    explicit TargetStatements(std::uint32_t self = 0);
 
     /**
      * Processes the statement of a response of @p target. A malformed one changes nothing. Returns whether the known
@@ -47,7 +47,7 @@
     bool responded(std::uint32_t target, const RateStatement &statement, state::Time now);
 
     /** Processes the limits that another host knows. */
-    void merge(std::span<const LimitShare> shares, state::Time now);
+    void merge(std::span<const StatementShare> shares, state::Time now);
 
     /** Processes the limits in @p report, and the requests in it that other hosts decided. */
     void peerReported(const PeerReport &report, state::Time now);
@@ -71,7 +71,7 @@
     std::uint32_t digest() const;
 
     /** Returns the limits for reports and for replies to them; if there are many, the next part of them. */
-    std::vector<LimitShare> shares(state::Time now);
+    std::vector<StatementShare> shares(state::Time now);
 
     /** Returns the requests that this host has recently sent to targets with a limit. */
     std::vector<SentShare> sentShares(state::Time now) const;
@@ -114,7 +114,7 @@
     };
 
     Item &itemOf(std::uint32_t target, state::Time now);
-    void merge(const LimitShare &share, state::Time now);
+    void merge(const StatementShare &share, state::Time now);
     static double rateOf(const TargetLimit &limit, state::Time now);
     static bool isEffective(const TargetLimit &limit, state::Time now);
 
--- a/src/protocol/binarycodec.h
+++ b/src/protocol/binarycodec.h
@@ -156,9 +156,9 @@
     codec.real(share.usedInWindow);
 }
 
-/** Visits the fields of a LimitShare in wire order, for both BinaryWriter and BinaryReader. */
+/** Visits the fields of a StatementShare in wire order, for both BinaryWriter and BinaryReader. */
 template <typename Codec, typename Share>
-void visitLimit(Codec &codec, Share &share)
+void visitStatement(Codec &codec, Share &share)
 {
     codec.number(share.target);
     codec.real(share.requestsPerSecond);
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -228,9 +228,9 @@
     visitList(codec, reportReply.quotas, [&codec](auto &quota) {
         visitQuota(codec, quota);
     });
-    codec.number(reportReply.limitsDigest);
-    visitList(codec, reportReply.limits, [&codec](auto &limit) {
-        visitLimit(codec, limit);
+    codec.number(reportReply.statementsDigest);
+    visitList(codec, reportReply.statements, [&codec](auto &statement) {
+        visitStatement(codec, statement);
     });
     codec.number(reportReply.suspectsDigest);
     visitList(codec, reportReply.suspects, [&codec](auto &evidence) {
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 using coordination::entry::ActiveRequest;
-using coordination::entry::LimitShare;
+using coordination::entry::StatementShare;
 using coordination::entry::PartEvidence;
 using coordination::entry::PeerReport;
 using coordination::entry::QuotaShare;
@@ -63,10 +63,10 @@
 }
 
 template <typename Codec, typename Share>
-requires std::same_as<std::remove_const_t<Share>, LimitShare>
+requires std::same_as<std::remove_const_t<Share>, StatementShare>
 void visit(Codec &codec, Share &share)
 {
-    visitLimit(codec, share);
+    visitStatement(codec, share);
 }
 
 template <typename Codec, typename Share>
@@ -132,8 +132,8 @@
     writeList(writer, report.active);
     writeList(writer, report.quotas);
     writeList(writer, report.versions);
-    writer.number(report.limitsDigest);
-    writeList(writer, report.limits);
+    writer.number(report.statementsDigest);
+    writeList(writer, report.statements);
     writeList(writer, report.sent);
     writer.number(report.suspectsDigest);
     writeList(writer, report.suspects);
@@ -157,8 +157,8 @@
     readList(reader, report.active);
     readList(reader, report.quotas);
     readList(reader, report.versions);
-    reader.number(report.limitsDigest);
-    readList(reader, report.limits);
+    reader.number(report.statementsDigest);
+    readList(reader, report.statements);
     readList(reader, report.sent);
     reader.number(report.suspectsDigest);
     readList(reader, report.suspects);
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -241,12 +241,12 @@
 /** Logs the limits of targets that have changed by what other hosts know. */
 void EntryHost::logLearnedLimits(state::Time now)
 {
-    for (const std::uint32_t hash : m_scheduler->limits().takeLearned()) {
+    for (const std::uint32_t hash : m_scheduler->statements().takeLearned()) {
         const auto *target = m_scheduler->targets().findByHash(hash);
         logEvent("target_limit_changed",
                  { { "target", target == nullptr ? "unknown" : target->entry().id },
                    { "target_hash", std::to_string(hash) },
-                   { "limit", describeLimit(m_scheduler->limits().find(hash), now) },
+                   { "limit", describeLimit(m_scheduler->statements().find(hash), now) },
                    { "source", "peer" } });
     }
 }
@@ -401,7 +401,7 @@
     text += "sapphirecove_targets " + std::to_string(m_scheduler->targets().size()) + '\n';
     text += "sapphirecove_suspect_parts " + std::to_string(m_scheduler->suspects().suspectCount()) + '\n';
     text += "sapphirecove_blocked_parts " + std::to_string(m_scheduler->suspects().blockedCount()) + '\n';
-    text += "sapphirecove_target_limits " + std::to_string(m_scheduler->limits().inForce()) + '\n';
+    text += "sapphirecove_target_limits " + std::to_string(m_scheduler->statements().inForce()) + '\n';
     return makeResponse(request, http::status::ok, MetricsMediaType, std::move(text));
 }
 
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -421,7 +421,7 @@
                { "decider", decision.decider },
                { "version", decision.target.softwareVersion },
                { "target_running", std::to_string(decision.targetRunning) },
-               { "target_limit", describeLimit(m_context.scheduler.limits().find(decision.targetHash), now) },
+               { "target_limit", describeLimit(m_context.scheduler.statements().find(decision.targetHash), now) },
                { "decider_limit", describeRate(decision.targetLimit) },
                { "expected_first_ms", std::to_string(static_cast<int>(decision.expectedFirstMs)) },
                { "parts", describeParts(m_admitted.suspects) },
--- a/src/transport/entry/format.h
+++ b/src/transport/entry/format.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/entry/targetlimits.h"
+#include "coordination/entry/targetstatements.h"
 #include "state/time.h"
 
 #include <algorithm>
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -214,20 +214,20 @@
         return;
     }
     const state::Time now = m_context.now();
-    auto &limits = m_context.scheduler.limits();
+    auto &statements = m_context.scheduler.statements();
     if (response.rate.kind == RateStatement::Kind::Limit) {
         m_context.metrics.count("answers_with_target_limit_total");
     } else if (response.rate.kind == RateStatement::Kind::Malformed) {
         m_context.metrics.count("target_limits_malformed_total");
         logEvent("target_limit_malformed", { { "target", m_target.id } });
     }
-    const auto *known = limits.find(m_target.hash);
+    const auto *known = statements.find(m_target.hash);
     const std::string before = describeLimit(known, now);
-    if (limits.responded(m_target.hash, response.rate, now)) {
+    if (statements.responded(m_target.hash, response.rate, now)) {
         logEvent("target_limit_changed",
                  { { "target", m_target.id },
                    { "target_hash", std::to_string(m_target.hash) },
-                   { "limit", describeLimit(limits.find(m_target.hash), now) },
+                   { "limit", describeLimit(statements.find(m_target.hash), now) },
                    { "before", before },
                    { "source", "response" } });
     }
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -320,7 +320,7 @@
         const RateStatement statement = m_statements[target];
         SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
         const auto deliver = [this, target, hash, statement](SimulatedHost &receiver) {
-            receiver.scheduler->limits().responded(hash, statement, m_now);
+            receiver.scheduler->statements().responded(hash, statement, m_now);
             if (statement.kind == RateStatement::Kind::Limit) {
                 m_limitToldAt.emplace(std::pair(target, receiver.number), m_now);
             }
--- a/tests/protocol/testdecidercodec.cpp
+++ b/tests/protocol/testdecidercodec.cpp
@@ -123,9 +123,9 @@
     reportReply.configuration = 12;
     reportReply.confirmedAge = milliseconds(1234);
     reportReply.quotas.push_back({ 1, 2.5, 3.5F });
-    reportReply.limitsDigest = 98;
+    reportReply.statementsDigest = 98;
     reportReply.storeEra = 6;
-    reportReply.limits.push_back({ 7, 0.5F, 3, false, 1200 });
+    reportReply.statements.push_back({ 7, 0.5F, 3, false, 1200 });
     reportReply.suspectsDigest = 97;
     reportReply.suspects.push_back({ 11, 5, 7, 8, 2, 1200, 300, { 12 } });
     const auto reportReplyMessage = decode(encodeDeciderMessage(reportReply, Deployment, Sent));
@@ -133,9 +133,9 @@
     CHECK(std::get<ReportReply>(*reportReplyMessage).confirmedAge == milliseconds(1234));
     CHECK(std::get<ReportReply>(*reportReplyMessage).qualified);
     CHECK(std::get<ReportReply>(*reportReplyMessage).quotas.at(0).usedInWindow == 3.5F);
-    CHECK(std::get<ReportReply>(*reportReplyMessage).limits.at(0).requestsPerSecond == 0.5F);
-    CHECK(std::get<ReportReply>(*reportReplyMessage).limits.at(0).ageMs == 1200);
-    CHECK(std::get<ReportReply>(*reportReplyMessage).limitsDigest == 98);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).statements.at(0).requestsPerSecond == 0.5F);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).statements.at(0).ageMs == 1200);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).statementsDigest == 98);
     CHECK(std::get<ReportReply>(*reportReplyMessage).storeEra == 6);
     CHECK(std::get<ReportReply>(*reportReplyMessage).suspectsDigest == 97);
     CHECK(std::get<ReportReply>(*reportReplyMessage).suspects == reportReply.suspects);
