--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -30,14 +30,23 @@
     float usedInWindow = 0; /**< by all hosts, as the sender sees it */
 };
 
-/** Limit that a target has stated, as the sender knows it; see TargetLimit. */
+/** What a target has stated about itself, as the sender knows it; see TargetStatements. */
 struct StatementShare
 {
     std::uint32_t target = 0; /**< hash of the incarnation */
     float requestsPerSecond = 0;
     std::uint32_t revision = 0;
     bool ended = false;
-    std::uint32_t ageMs = 0; /**< since it was stated last, or since its end */
+    std::uint32_t ageMs = 0; /**< of the limit, since it was stated last, or since its end */
+    bool leaving = false;
+    std::uint32_t leavingAgeMs = 0; /**< since the target was first heard to leave */
+};
+
+/** Time for which a target wants no requests from the sender. */
+struct BackOffShare
+{
+    std::uint32_t target = 0; /**< hash of the incarnation */
+    std::uint32_t remainingMs = 0;
 };
 
 /** Requests that a host has sent to a target with a limit, on the decisions of one process. */
@@ -93,9 +102,10 @@
     std::vector<ActiveRequest> active;
     std::vector<QuotaShare> quotas;
     std::vector<VersionShare> versions;
-    std::uint32_t statementsDigest = 0; /**< of all limits that the sender knows, see TargetStatements::digest() */
+    std::uint32_t statementsDigest = 0; /**< of all that the sender knows, see TargetStatements::digest() */
     std::vector<StatementShare> statements; /**< only sent if a recipient may know others */
     std::vector<SentShare> sent;
+    std::vector<BackOffShare> backOffs;
     std::uint32_t suspectsDigest = 0; /**< see CrashSuspects::digest() */
     std::vector<PartEvidence> suspects; /**< only sent if a recipient may have other evidence */
 };
--- a/src/coordination/entry/remoterequesttable.cpp
+++ b/src/coordination/entry/remoterequesttable.cpp
@@ -63,6 +63,7 @@
     m_localIds[key] = localId;
     ScheduledRequest request = message.request;
     request.id = localId;
+    request.host = message.requester.host;
     if (const auto refusal = m_scheduler.enqueue(request, now)) {
         return recordDecision(*refusal, now).value();
     }
--- a/src/coordination/entry/scheduledrequest.h
+++ b/src/coordination/entry/scheduledrequest.h
@@ -11,6 +11,13 @@
 
 namespace sapphirecove::coordination::entry {
 
+/** Target that wants no requests from a host for a time. */
+struct BackOff
+{
+    std::uint32_t target = 0; /**< hash of the incarnation */
+    state::Time until{};
+};
+
 /** Request as the scheduler sees it. */
 struct ScheduledRequest
 {
@@ -18,6 +25,7 @@
     std::string service;
     std::string route;
     std::string failureDomain; /**< of the host that runs the request; empty for the decider's own */
+    std::string host; /**< that runs the request; empty for the decider itself. Set by the decider */
     std::string customer; /**< whose quota is charged; empty for none */
     double cost = 0; /**< in the unit of the customer's quota */
     int priority = 0; /**< of the route and the customer together; 0 is the most urgent */
@@ -30,6 +38,7 @@
     std::optional<double> expectedOutputTokens;
     std::vector<std::string> excludedTargets; /**< already tried */
     std::vector<std::uint64_t> parts; /**< which a crash accuses: the request itself, then shared parts of its prompt */
+    std::vector<BackOff> backOffs; /**< that made the host refuse placements of this request */
 };
 
 /** Reason why a request is not sent to a target. */
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -31,6 +31,13 @@
 constexpr state::Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr state::Duration MaxRetryAfter = std::chrono::seconds(5);
 
+/**
+ * Largest share by which that time exceeds the end of the targets' back-off, and the number of values: callers that are
+ * refused together must not return at once.
+ */
+constexpr double RetryAfterSpread = 0.25;
+constexpr std::uint64_t RetryAfterSteps = 16;
+
 /** Upper limit of that time for a request that crashes targets: more than callers wait, few attempts by their software.
  */
 constexpr state::Duration MaxBlockedRetryAfter = std::chrono::minutes(2);
@@ -112,6 +119,8 @@
     waiting.expiresAt = now + state::durationFromMilliseconds(remainingMs * MaxWaitShare);
     waiting.excludedTargets = request.excludedTargets;
     waiting.parts = request.parts;
+    waiting.host = request.host;
+    waiting.backOffs = request.backOffs;
     averages.service = request.service;
     averages.rank = WaitingQueue::rankOf(waiting, now);
     if (m_targets.ofService(request.service).empty()) {
@@ -120,7 +129,7 @@
     if (isBlocked(waiting.parts, waiting.service, now)) {
         return refuseBlocked(waiting, now);
     }
-    if (now + expectedWait(waiting, now) > waiting.expiresAt) {
+    if (now + timeToOpen(waiting, now) + expectedWait(waiting, now) > waiting.expiresAt) {
         return refuse(waiting, RefusalReason::Overloaded, now);
     }
     // Checked last, so that a request refused for another reason is not charged to the customer.
@@ -153,6 +162,14 @@
             decisions.push_back(refuseBlocked(blocked, now));
         }
     }
+    if (m_statements.anyBackOff(now)) {
+        const auto opensTooLate = [&](const WaitingRequest &request) {
+            return now + timeToOpen(request, now) > request.expiresAt;
+        };
+        for (const auto &request : m_queue.takeIf(opensTooLate)) {
+            decisions.push_back(refuse(request, RefusalReason::Overloaded, now));
+        }
+    }
     for (const std::string_view service : m_queue.services()) {
         decideService(service, now, decisions);
     }
@@ -184,7 +201,8 @@
     for (TargetLoad *target : m_targets.ofService(service)) {
         const auto &entry = target->entry();
         const bool allowed = m_rollouts.mayUse(entry.service, entry.softwareVersion, m_deciders);
-        if (allowed && m_targets.accepts(*target) && target->usable(now)) {
+        const bool stays = m_targets.accepts(*target) && !m_statements.isLeaving(target->hash());
+        if (allowed && stays && target->usable(now)) {
             usable.push_back(target);
         }
     }
@@ -202,12 +220,13 @@
 
 /**
  * Returns the targets with a free slot that @p request has not tried yet, that meet its pause limit and that accept a
- * request now.
+ * request now. Those that have asked other hosts for a pause are only returned if there are no others.
  */
 std::vector<TargetLoad *>
 Scheduler::fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now)
 {
     std::vector<TargetLoad *> fitting;
+    std::vector<TargetLoad *> backingOff;
     for (TargetLoad *target : usable) {
         const auto &excluded = request.excludedTargets;
         const bool tried = std::find(excluded.begin(), excluded.end(), target->entry().id) != excluded.end();
@@ -216,11 +235,55 @@
         const bool open =
             target->usable(now) && m_rollouts.mayUse(request.service, target->entry().softwareVersion, m_deciders);
         if (open && target->hasRoom() && !tried && meetsPauseLimit(*target, request) && mayHold(*target, request, now)
-            && m_statements.mayDispatch(target->hash(), now)) {
-            fitting.push_back(target);
+            && !closedUntil(*target, request, now) && m_statements.mayDispatch(target->hash(), now)) {
+            (m_statements.isBackingOff(target->hash(), now) ? backingOff : fitting).push_back(target);
+        }
+    }
+    return fitting.empty() ? backingOff : fitting;
+}
+
+/** Returns until when @p target takes no requests from the host of @p request; nothing if it takes them now. */
+std::optional<state::Time>
+Scheduler::closedUntil(const TargetLoad &target, const WaitingRequest &request, state::Time now) const
+{
+    auto until = m_statements.closedUntil(target.hash(), request.host, now);
+    for (const BackOff &backOff : request.backOffs) {
+        if (backOff.target == target.hash() && backOff.until > now) {
+            until = std::max(until.value_or(backOff.until), backOff.until);
+        }
+    }
+    return until;
+}
+
+/**
+ * Returns the time until one of the targets that @p request may use takes requests from its host; zero if one does, or
+ * if that is not known.
+ */
+state::Duration Scheduler::timeToOpen(const WaitingRequest &request, state::Time now) const
+{
+    if (!m_statements.anyBackOff(now) && request.backOffs.empty()) {
+        return state::Duration::zero();
+    }
+    std::optional<state::Time> first;
+    const auto &excluded = request.excludedTargets;
+    for (const TargetLoad *target : usableTargets(request.service, now)) {
+        if (std::find(excluded.begin(), excluded.end(), target->entry().id) != excluded.end()) {
+            continue;
+        }
+        const auto until = closedUntil(*target, request, now);
+        if (!until) {
+            return state::Duration::zero();
         }
+        first = std::min(first.value_or(*until), *until);
     }
-    return fitting;
+    return first && *first != state::Time::max() ? *first - now : state::Duration::zero();
+}
+
+state::Duration Scheduler::timeToOpen(std::string_view service, state::Time now) const
+{
+    WaitingRequest request;
+    request.service = service;
+    return timeToOpen(request, now);
 }
 
 /** Returns whether a request with @p parts may be sent to no target of @p service now. */
@@ -445,6 +508,7 @@
     report.versions = m_rollouts.shares();
     report.statementsDigest = m_statements.digest();
     report.sent = m_statements.sentShares(now);
+    report.backOffs = m_statements.backOffShares(now);
     report.suspectsDigest = m_suspects.digest();
 }
 
@@ -472,12 +536,14 @@
 double Scheduler::slotsLeft(const WaitingRequest &request, state::Time now) const
 {
     double slots = 0;
+    double closedSlots = 0;
     for (const TargetLoad *target : usableTargets(request.service, now)) {
         const auto rate = m_statements.rate(target->hash(), now);
         const double all = target->entry().slots;
-        slots += rate ? std::min(all, *rate * request.usualSlotMs / 1000) : all;
+        const double usable = rate ? std::min(all, *rate * request.usualSlotMs / 1000) : all;
+        (closedUntil(*target, request, now) ? closedSlots : slots) += usable;
     }
-    return slots;
+    return slots > 0 ? slots : closedSlots; // If all are closed, timeToOpen() counts the time until then.
 }
 
 /** Refuses @p request. Its retryAfter is an estimate of when the requests that wait before it are gone. */
@@ -486,7 +552,13 @@
     Decision decision;
     decision.request = request.id;
     decision.refusal = reason;
-    decision.retryAfter = std::clamp(expectedWait(request, now) * RetryAfterWaits, MinRetryAfter, MaxRetryAfter);
+    const state::Duration toOpen = timeToOpen(request, now);
+    const auto spread = static_cast<double>(request.id % RetryAfterSteps) / RetryAfterSteps * RetryAfterSpread;
+    const state::Duration wait = expectedWait(request, now) * RetryAfterWaits + toOpen;
+    decision.retryAfter = std::clamp(wait, MinRetryAfter, MaxRetryAfter);
+    if (toOpen > state::Duration::zero()) {
+        decision.retryAfter = state::scaled(decision.retryAfter, 1 + spread);
+    }
     return decision;
 }
 
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -59,7 +59,7 @@
         return m_retryBudget;
     }
 
-    /** Limits that targets state in their responses. */
+    /** What targets state about themselves in their responses. */
     TargetStatements &statements()
     {
         return m_statements;
@@ -106,7 +106,7 @@
     /** Counts the load at the targets again after discovery has changed them. */
     void targetsChanged();
 
-    /** Drops targets whose entries lapsed with the store and were not restored, and outdated limits. */
+    /** Drops targets whose entries lapsed with the store and were not restored, and outdated statements. */
     void expireTargets(state::Time now);
 
     /**
@@ -115,6 +115,12 @@
      */
     void fillReport(PeerReport &report, state::Time now);
 
+    /**
+     * Returns the time until one of the targets of @p service takes requests from this host; zero if one does, or if
+     * that is not known.
+     */
+    state::Duration timeToOpen(std::string_view service, state::Time now) const;
+
     std::size_t waiting() const
     {
         return m_queue.size();
@@ -156,6 +162,9 @@
     static bool meetsPauseLimit(const TargetLoad &target, const WaitingRequest &request);
     std::vector<TargetLoad *>
     fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now);
+    std::optional<state::Time>
+    closedUntil(const TargetLoad &target, const WaitingRequest &request, state::Time now) const;
+    state::Duration timeToOpen(const WaitingRequest &request, state::Time now) const;
     double slotsLeft(const WaitingRequest &request, state::Time now) const;
     Decision dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now);
     state::Duration expectedWait(const WaitingRequest &request, state::Time now);
--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -31,13 +31,33 @@
 /** Time for which the counts of a host that stopped reporting are kept. */
 constexpr state::Duration KeepPeers = std::chrono::seconds(60);
 
+/** Time for which a target counts as leaving after it said so: longer than any drain. It does not come back. */
+constexpr state::Duration KeepLeaving = std::chrono::hours(1);
+
+/**
+ * Longest back-off that one response causes. A target that needs more says so again; a wrong value does not take a
+ * target away for long.
+ */
+constexpr state::Duration MaxBackOff = std::chrono::seconds(60);
+
+/**
+ * Requests per second at the end of a back-off, the time in which they double, and the time after which the target gets
+ * as much as any other. What has waited for the end must not arrive at once.
+ */
+constexpr double BackOffEndRate = 8;
+constexpr double BackOffDoublingSeconds = 0.25;
+constexpr state::Duration BackOffRamp = std::chrono::seconds(1);
+
+/** Back-offs shorter than this are over before a report could change anything. */
+constexpr state::Duration MinUrgentBackOff = std::chrono::milliseconds(100);
+
 /** A limit below this fraction of the known one is reported at once, a smaller change with the next report. */
 constexpr double UrgentFraction = 0.9;
 
-/** Most limits that a host remembers; more than the targets that a fleet is designed for. */
-constexpr std::size_t MaxLimits = 16384;
+/** Most targets whose statements a host remembers; more than a fleet is designed for. */
+constexpr std::size_t MaxTargets = 16384;
 
-/** Most limits, and most counts, in one message, which has to fit into a datagram. */
+/** Most statements, and most counts, in one message, which has to fit into a datagram. */
 constexpr std::size_t MaxShared = 500;
 
 /** Time for which reports name a host's requests to a target, so that a lost report does not matter. */
@@ -74,15 +94,29 @@
 {
 }
 
-bool TargetStatements::responded(std::uint32_t target, const RateStatement &statement, state::Time now)
+StatementChanges
+TargetStatements::heard(std::uint32_t target, const SelfStatement &statement, state::Time sent, state::Time now)
+{
+    StatementChanges changes;
+    changes.limit = heardRate(target, statement.rate, sent, now);
+    changes.leaving = statement.leaving && heardLeaving(target, now);
+    changes.backOff = statement.backOff && heardBackOff(target, *statement.backOff, now);
+    return changes;
+}
+
+bool TargetStatements::heardRate(std::uint32_t target,
+                                 const RateStatement &statement,
+                                 state::Time sent,
+                                 state::Time now)
 {
     const auto found = m_items.find(target);
+    const bool mayBeOlder = found != m_items.end() && !found->second.limit.ended && sent < found->second.limit.statedAt;
     const bool inForce = found != m_items.end() && !found->second.limit.ended;
     switch (statement.kind) {
     case RateStatement::Kind::Malformed:
         return false;
     case RateStatement::Kind::None:
-        if (!inForce) {
+        if (!inForce || mayBeOlder) {
             return false;
         }
         found->second.limit.ended = true;
@@ -92,27 +126,84 @@
     case RateStatement::Kind::Limit:
         break;
     }
-    if (found == m_items.end() && m_items.size() >= MaxLimits) {
-        return false;
-    }
+    Item *const item = itemOfHeard(target, now);
     // As a float, so that the value does not change on its way through messages.
     const double stated = static_cast<float>(std::min(statement.requestsPerSecond, 1e9));
-    if (!inForce || stated < found->second.limit.requestsPerSecond * UrgentFraction) {
+    TargetLimit &limit = item->limit;
+    if (mayBeOlder && stated > limit.requestsPerSecond) {
+        return false;
+    }
+    if (!inForce || stated < limit.requestsPerSecond * UrgentFraction) {
         m_urgent = true;
     }
-    TargetLimit &limit = itemOf(target, now).limit;
+    if (!isEffective(limit, now)) {
+        item->pacer = RatePacer(phaseOf(m_self, target), now);
+    }
     const bool changed = !inForce || limit.requestsPerSecond != stated;
     limit = { stated, false, limit.revision + (changed ? 1 : 0), now };
     return changed;
 }
 
+/** Records that @p target is leaving; returns whether that is news. */
+bool TargetStatements::heardLeaving(std::uint32_t target, state::Time now)
+{
+    Item &item = *itemOfHeard(target, now);
+    const bool isNews = !item.leavingSince;
+    if (isNews) {
+        item.leavingSince = now;
+        m_urgent = true;
+    }
+    return isNews;
+}
+
+/** Records that @p target wants no requests from this host; returns whether that is news. */
+bool TargetStatements::heardBackOff(std::uint32_t target, state::Duration backOff, state::Time now)
+{
+    const state::Time end = now + std::min(backOff, MaxBackOff);
+    Item &item = *itemOfHeard(target, now);
+    const bool isNews = item.backOffEnd <= now && end > now;
+    if (isNews && end - now >= MinUrgentBackOff) {
+        m_urgent = true;
+    }
+    item.backOffEnd = std::max(item.backOffEnd, end);
+    extendBackOff(target, item, end, now);
+    return isNews;
+}
+
+/** Extends the time for which @p target is backing off from any host to @p end. */
+void TargetStatements::extendBackOff(std::uint32_t target, Item &item, state::Time end, state::Time now)
+{
+    if (end <= item.lastBackOffEnd) {
+        return;
+    }
+    item.lastBackOffEnd = end;
+    m_lastBackOffEnd = std::max(m_lastBackOffEnd, end);
+    if (!isEffective(item.limit, now)) {
+        item.pacer = RatePacer(phaseOf(m_self, target), end);
+    }
+}
+
 void TargetStatements::merge(std::span<const StatementShare> shares, state::Time now)
 {
     for (const StatementShare &share : shares) {
-        merge(share, now);
+        mergeLeaving(share, now);
+        if (share.revision > 0) {
+            merge(share, now);
+        }
     }
 }
 
+void TargetStatements::mergeLeaving(const StatementShare &share, state::Time now)
+{
+    const state::Time since = now - std::chrono::milliseconds(share.leavingAgeMs);
+    if (!share.leaving || now - since > KeepLeaving || isLeaving(share.target)
+        || (!m_items.contains(share.target) && m_items.size() >= MaxTargets)) {
+        return;
+    }
+    itemOf(share.target, now).leavingSince = since;
+    m_learnedLeaving.emplace_back(share.target, since);
+}
+
 void TargetStatements::merge(const StatementShare &share, state::Time now)
 {
     const TargetLimit other{
@@ -122,11 +213,15 @@
         return;
     }
     const auto found = m_items.find(share.target);
-    if (found == m_items.end() && m_items.size() >= MaxLimits) {
+    if (found == m_items.end() && m_items.size() >= MaxTargets) {
         return;
     }
     if (found == m_items.end() || isNewer(other, found->second.limit)) {
-        itemOf(share.target, now).limit = other;
+        Item &item = itemOf(share.target, now);
+        if (!isEffective(item.limit, now)) {
+            item.pacer = RatePacer(phaseOf(m_self, share.target), now);
+        }
+        item.limit = other;
         m_learned.push_back(share.target);
         return;
     }
@@ -143,7 +238,16 @@
     // What a peer sent before its first report was sent before this host could be asked.
     const bool known = peer.incarnation == report.incarnation;
     if (!known) {
-        peer = { report.incarnation, now, {} };
+        peer = { report.incarnation, now, {}, {} };
+    }
+    peer.backOffEnds.clear();
+    for (const BackOffShare &share : report.backOffs) {
+        if (m_items.contains(share.target) || m_items.size() < MaxTargets) {
+            const state::Duration remaining =
+                std::min<state::Duration>(std::chrono::milliseconds(share.remainingMs), MaxBackOff);
+            peer.backOffEnds[share.target] = now + remaining;
+            extendBackOff(share.target, itemOf(share.target, now), now + remaining, now);
+        }
     }
     peer.reportedAt = now;
     for (const SentShare &share : report.sent) {
@@ -153,7 +257,9 @@
         before->second = share.requests;
         const auto found = m_items.find(share.target);
         if (known && share.decider != m_self && found != m_items.end()) {
-            found->second.pacer.spend(grown, rateOf(found->second.limit, now));
+            if (const auto rate = rateNow(found->second, now)) {
+                found->second.pacer.spend(grown, *rate);
+            }
         }
     }
 }
@@ -168,21 +274,56 @@
     m_share = share;
 }
 
+bool TargetStatements::isLeaving(std::uint32_t target) const
+{
+    const auto found = m_items.find(target);
+    return found != m_items.end() && found->second.leavingSince;
+}
+
+std::optional<state::Time>
+TargetStatements::closedUntil(std::uint32_t target, std::string_view host, state::Time now) const
+{
+    const auto found = m_items.find(target);
+    if (found == m_items.end()) {
+        return std::nullopt;
+    }
+    if (found->second.leavingSince) {
+        return state::Time::max();
+    }
+    state::Time end = found->second.backOffEnd;
+    if (!host.empty()) {
+        const auto peer = m_peers.find(host);
+        if (peer == m_peers.end() || !peer->second.backOffEnds.contains(target)) {
+            return std::nullopt;
+        }
+        end = peer->second.backOffEnds.at(target);
+    }
+    return end > now ? std::optional(end) : std::nullopt;
+}
+
+bool TargetStatements::isBackingOff(std::uint32_t target, state::Time now) const
+{
+    const auto found = m_items.find(target);
+    return found != m_items.end() && now < found->second.lastBackOffEnd;
+}
+
 bool TargetStatements::mayDispatch(std::uint32_t target, state::Time now)
 {
     const auto found = m_items.find(target);
-    if (found == m_items.end() || !isEffective(found->second.limit, now)) {
+    const auto rate = found == m_items.end() ? std::nullopt : rateNow(found->second, now);
+    if (!rate) {
         return true;
     }
-    found->second.pacer.refill(rateOf(found->second.limit, now) * m_share, now);
+    found->second.pacer.refill(*rate * m_share, now);
     return found->second.pacer.ready();
 }
 
 void TargetStatements::dispatched(std::uint32_t target, state::Time now)
 {
     const auto found = m_items.find(target);
-    if (found != m_items.end()) {
-        found->second.pacer.spend(1, rateOf(found->second.limit, now));
+    const auto rate = found == m_items.end() ? std::nullopt : rateNow(found->second, now);
+    if (rate) {
+        found->second.pacer.spend(1, *rate);
     }
 }
 
@@ -205,7 +346,13 @@
 {
     std::uint32_t digest = 0;
     for (const auto &[target, item] : m_items) {
+        if (item.leavingSince) {
+            digest ^= shortHash(std::to_string(target) + "/leaving");
+        }
         const TargetLimit &limit = item.limit;
+        if (limit.revision == 0) {
+            continue;
+        }
         digest ^= shortHash(std::to_string(target) + '/' + std::to_string(limit.revision) + (limit.ended ? "/-" : "/+")
                             + std::to_string(limit.requestsPerSecond));
     }
@@ -216,15 +363,18 @@
 {
     std::vector<StatementShare> result;
     auto entry = m_items.lower_bound(m_nextShared);
-    while (result.size() < std::min(m_items.size(), MaxShared)) {
+    for (std::size_t visited = 0; visited < m_items.size() && result.size() < MaxShared; ++visited, ++entry) {
         entry = entry == m_items.end() ? m_items.begin() : entry;
-        const TargetLimit &limit = entry->second.limit;
-        result.push_back({ entry->first,
-                           static_cast<float>(limit.requestsPerSecond),
-                           limit.revision,
-                           limit.ended,
-                           ageMs(limit.statedAt, now) });
-        ++entry;
+        const Item &item = entry->second;
+        if (item.limit.revision > 0 || item.leavingSince) {
+            result.push_back({ entry->first,
+                               static_cast<float>(item.limit.requestsPerSecond),
+                               item.limit.revision,
+                               item.limit.ended,
+                               ageMs(item.limit.statedAt, now),
+                               item.leavingSince.has_value(),
+                               ageMs(item.leavingSince.value_or(now), now) });
+        }
     }
     m_nextShared = entry == m_items.end() ? 0 : entry->first;
     return result;
@@ -241,10 +391,32 @@
     return result;
 }
 
+std::vector<BackOffShare> TargetStatements::backOffShares(state::Time now) const
+{
+    std::vector<BackOffShare> result;
+    if (!anyBackOff(now)) {
+        return result;
+    }
+    for (const auto &[target, item] : m_items) {
+        if (item.backOffEnd > now && result.size() < MaxShared) {
+            result.push_back({ target, ageMs(now, item.backOffEnd) });
+        }
+    }
+    return result;
+}
+
+/** Returns whether @p item still says anything about its target. */
+bool TargetStatements::isKept(const Item &item, state::Time now)
+{
+    const bool isLeaving = item.leavingSince && now - *item.leavingSince <= KeepLeaving;
+    const bool isLimited = item.limit.revision > 0 && now - item.limit.statedAt <= keepFor(item.limit);
+    return isLeaving || isLimited || now < item.lastBackOffEnd + BackOffRamp;
+}
+
 void TargetStatements::expire(state::Time now)
 {
     std::erase_if(m_items, [now](const auto &entry) {
-        return now - entry.second.limit.statedAt > keepFor(entry.second.limit);
+        return !isKept(entry.second, now);
     });
     const auto isForgotten = [this](const auto &entry) {
         return !m_items.contains(entry.first.first);
@@ -263,6 +435,11 @@
     return std::exchange(m_learned, {});
 }
 
+std::vector<std::pair<std::uint32_t, state::Time>> TargetStatements::takeLearnedLeaving()
+{
+    return std::exchange(m_learnedLeaving, {});
+}
+
 bool TargetStatements::takeUrgent()
 {
     return std::exchange(m_urgent, false);
@@ -281,6 +458,34 @@
     }));
 }
 
+std::size_t TargetStatements::leavingCount() const
+{
+    return static_cast<std::size_t>(std::count_if(m_items.begin(), m_items.end(), [](const auto &entry) {
+        return entry.second.leavingSince.has_value();
+    }));
+}
+
+std::size_t TargetStatements::backingOffCount(state::Time now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_items.begin(), m_items.end(), [now](const auto &entry) {
+        return now < entry.second.lastBackOffEnd;
+    }));
+}
+
+/** Returns the item of a target that this host has heard itself; if there are too many, another one is dropped. */
+TargetStatements::Item *TargetStatements::itemOfHeard(std::uint32_t target, state::Time now)
+{
+    if (!m_items.contains(target) && m_items.size() >= MaxTargets) {
+        const auto latest = [](const Item &item) {
+            return std::max({ item.limit.statedAt, item.leavingSince.value_or(state::Time()), item.lastBackOffEnd });
+        };
+        m_items.erase(std::min_element(m_items.begin(), m_items.end(), [&](const auto &a, const auto &b) {
+            return latest(a.second) < latest(b.second);
+        }));
+    }
+    return &itemOf(target, now);
+}
+
 /** Returns the item of @p target; a new one starts with the phase of this process. */
 TargetStatements::Item &TargetStatements::itemOf(std::uint32_t target, state::Time now)
 {
@@ -288,7 +493,7 @@
     if (found != m_items.end()) {
         return found->second;
     }
-    return m_items.emplace(target, Item{ {}, RatePacer(phaseOf(m_self, target), now) }).first->second;
+    return m_items.emplace(target, Item{ {}, RatePacer(phaseOf(m_self, target), now), {}, {}, {} }).first->second;
 }
 
 /** Returns the requests per second that @p limit leaves to all hosts at @p now. */
@@ -302,6 +507,18 @@
     return stated * std::exp2(std::max(0.0, doublings));
 }
 
+/** Returns the requests per second that @p item leaves to all hosts at @p now; nothing if it sets no limit. */
+std::optional<double> TargetStatements::rateNow(const Item &item, state::Time now)
+{
+    const auto limit = isEffective(item.limit, now) ? std::optional(rateOf(item.limit, now)) : std::nullopt;
+    const state::Duration sinceEnd = now - item.lastBackOffEnd;
+    if (sinceEnd < state::Duration::zero() || sinceEnd >= BackOffRamp) {
+        return limit;
+    }
+    const double ramp = BackOffEndRate * std::exp2(state::toSeconds(sinceEnd) / BackOffDoublingSeconds);
+    return limit ? std::min(*limit, ramp) : ramp;
+}
+
 bool TargetStatements::isEffective(const TargetLimit &limit, state::Time now)
 {
     return !limit.ended || now - limit.statedAt < EndRamp;
--- a/src/coordination/entry/targetstatements.h
+++ b/src/coordination/entry/targetstatements.h
@@ -2,7 +2,7 @@
 
 #include "coordination/entry/peerreport.h"
 #include "coordination/entry/ratepacer.h"
-#include "coordination/entry/ratestatement.h"
+#include "coordination/entry/selfstatement.h"
 #include "state/time.h"
 
 #include <cstddef>
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -20,19 +21,30 @@
 struct TargetLimit
 {
     double requestsPerSecond = 0; /**< as the target stated it last */
-    bool ended = false; /**< the target no longer states it */
+    bool ended = true; /**< the target no longer states it, or never did */
     std::uint32_t revision = 0; /**< grows with each change; the higher one of two hosts is in force */
     state::Time statedAt{}; /**< last response that stated it, or the first one that did not after its end */
 };
 
+/** Which statements of a target a response has changed. */
+struct StatementChanges
+{
+    bool limit = false;
+    bool leaving = false;
+    bool backOff = false;
+};
+
 /**
- * Limits that targets state in their responses, and the requests that they leave to this host. Targets are identified
- * by TargetLoad::hash(), so that a new incarnation starts without a limit.
+ * What targets state about themselves in their responses: a limit on the rate of requests, that they are leaving, and a
+ * time for which they want no requests (back-off). Targets are identified by TargetLoad::hash(), so that a new
+ * incarnation starts without statements.
+ *
+ * A host is bound by what it has read itself at once. A limit and leaving concern all hosts: each host passes on what
+ * it knows in its reports and in its replies to them. A back-off concerns the host that got it; reports tell the
+ * deciders, which place requests of that host elsewhere.
  *
- * A limit belongs to the target and all hosts together. Each host passes on what it knows in its reports and in its
- * replies to them, so that every host that may decide knows a limit that any of them has read. The host that decides
- * spreads all requests at the stated rate and counts what others decided from the hosts' reports. See setShare() for
- * hosts that do not hear the whole fleet.
+ * The host that decides spreads all requests at the stated rate and counts what others decided from the hosts' reports.
+ * See setShare() for hosts that do not hear the whole fleet.
  */
 class TargetStatements
 {
@@ -41,21 +53,39 @@
     explicit TargetStatements(std::uint32_t self = 0);
 
     /**
-     * Processes the statement of a response of @p target. A malformed one changes nothing. Returns whether the known
-     * limit has changed.
+     * Processes what a response of @p target to a request sent at @p sent states. A response to a request that was sent
+     * before the known limit was stated may be older than it and does not raise or end it.
      */
-    bool responded(std::uint32_t target, const RateStatement &statement, state::Time now);
+    StatementChanges heard(std::uint32_t target, const SelfStatement &statement, state::Time sent, state::Time now);
 
-    /** Processes the limits that another host knows. */
+    /** Processes what another host knows. */
     void merge(std::span<const StatementShare> shares, state::Time now);
 
-    /** Processes the limits in @p report, and the requests in it that other hosts decided. */
+    /** Processes the statements in @p report, and the requests in it that other hosts decided. */
     void peerReported(const PeerReport &report, state::Time now);
 
     /** Sets the part of all limits that this host may use, from 0, while another host decides, to 1. */
     void setShare(double share, state::Time now);
 
-    /** Returns whether a request may be sent to @p target now. */
+    /** Returns whether the target is leaving. */
+    bool isLeaving(std::uint32_t target) const;
+
+    /**
+     * Returns until when @p target takes no requests from @p host, which is empty for this host; state::Time::max() if
+     * it is leaving, nothing if it takes them now.
+     */
+    std::optional<state::Time> closedUntil(std::uint32_t target, std::string_view host, state::Time now) const;
+
+    /** Returns whether @p target has asked any host for a time without requests that has not passed. */
+    bool isBackingOff(std::uint32_t target, state::Time now) const;
+
+    /** Returns whether any target is backing off. */
+    bool anyBackOff(state::Time now) const
+    {
+        return now < m_lastBackOffEnd;
+    }
+
+    /** Returns whether the rate at @p target, its limit or that after a back-off, permits a request now. */
     bool mayDispatch(std::uint32_t target, state::Time now);
 
     /** Counts a request to @p target that this host has decided, for itself or for another host. */
@@ -67,22 +97,28 @@
     /** Returns the requests per second that @p target accepts from all hosts; nothing if it states no limit. */
     std::optional<double> rate(std::uint32_t target, state::Time now) const;
 
-    /** Returns a number that two hosts share if they know the same limits. */
+    /** Returns a number that two hosts share if they know the same limits and leaving targets. */
     std::uint32_t digest() const;
 
-    /** Returns the limits for reports and for replies to them; if there are many, the next part of them. */
+    /** Returns the statements for reports and for replies to them; if there are many, the next part of them. */
     std::vector<StatementShare> shares(state::Time now);
 
     /** Returns the requests that this host has recently sent to targets with a limit. */
     std::vector<SentShare> sentShares(state::Time now) const;
 
-    /** Drops limits that have ended or have not been stated for long. */
+    /** Returns the targets that want no requests from this host. */
+    std::vector<BackOffShare> backOffShares(state::Time now) const;
+
+    /** Drops statements that have ended or are old. */
     void expire(state::Time now);
 
     /** Returns the targets whose limit has changed by what other hosts know since the last call. */
     std::vector<std::uint32_t> takeLearned();
 
-    /** Returns whether a limit was stated or lowered since the last call, which other hosts should know at once. */
+    /** Returns the targets that are leaving by what other hosts know since the last call, with the statement's time. */
+    std::vector<std::pair<std::uint32_t, state::Time>> takeLearnedLeaving();
+
+    /** Returns whether a target said something since the last call that other hosts should know at once. */
     bool takeUrgent();
 
     /** Returns the limit of @p target; nullptr if none is known. */
@@ -91,11 +127,20 @@
     /** Returns the number of targets that state a limit at present. */
     std::size_t inForce() const;
 
+    /** Returns the number of targets that are leaving. */
+    std::size_t leavingCount() const;
+
+    /** Returns the number of targets that are backing off from any host. */
+    std::size_t backingOffCount(state::Time now) const;
+
 private:
     struct Item
     {
         TargetLimit limit;
         RatePacer pacer;
+        std::optional<state::Time> leavingSince; /**< when it was first heard */
+        state::Time backOffEnd{}; /**< for this host */
+        state::Time lastBackOffEnd{}; /**< for any host, this one included */
     };
 
     using TargetAndDecider = std::pair<std::uint32_t, std::uint32_t>;
@@ -111,9 +156,18 @@
         std::uint64_t incarnation = 0;
         state::Time reportedAt{};
         std::map<TargetAndDecider, std::uint32_t> sent;
+        std::map<std::uint32_t, state::Time> backOffEnds; /**< by target */
     };
 
     Item &itemOf(std::uint32_t target, state::Time now);
+    Item *itemOfHeard(std::uint32_t target, state::Time now);
+    bool heardRate(std::uint32_t target, const RateStatement &statement, state::Time sent, state::Time now);
+    bool heardLeaving(std::uint32_t target, state::Time now);
+    bool heardBackOff(std::uint32_t target, state::Duration backOff, state::Time now);
+    void extendBackOff(std::uint32_t target, Item &item, state::Time end, state::Time now);
+    void mergeLeaving(const StatementShare &share, state::Time now);
+    static bool isKept(const Item &item, state::Time now);
+    static std::optional<double> rateNow(const Item &item, state::Time now);
     void merge(const StatementShare &share, state::Time now);
     static double rateOf(const TargetLimit &limit, state::Time now);
     static bool isEffective(const TargetLimit &limit, state::Time now);
@@ -125,6 +179,8 @@
     std::uint32_t m_nextShared = 0; /**< where shares() goes on */
     std::map<std::string, PeerState, std::less<>> m_peers;
     std::vector<std::uint32_t> m_learned;
+    std::vector<std::pair<std::uint32_t, state::Time>> m_learnedLeaving;
+    state::Time m_lastBackOffEnd{}; /**< of all targets and hosts */
     bool m_urgent = false;
 };
 
--- a/src/coordination/entry/waitingqueue.h
+++ b/src/coordination/entry/waitingqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/scheduledrequest.h"
 #include "coordination/entry/targetload.h"
 #include "state/time.h"
 
@@ -23,6 +24,7 @@
     std::string service;
     std::string route;
     std::string failureDomain; /**< of the host that runs the request */
+    std::string host; /**< that runs the request; empty for this host */
     int priority = 0; /**< 0 is the most urgent */
     Work work;
     std::optional<double> expectedOutputTokens; /**< the caller's estimate */
@@ -33,6 +35,7 @@
     state::Time expiresAt{}; /**< a dispatch after this is of no use to the caller */
     std::vector<std::string> excludedTargets; /**< already tried */
     std::vector<std::uint64_t> parts; /**< see ScheduledRequest::parts */
+    std::vector<BackOff> backOffs; /**< that made the host refuse placements of this request */
 };
 
 /**
--- a/src/protocol/binarycodec.h
+++ b/src/protocol/binarycodec.h
@@ -165,6 +165,8 @@
     codec.number(share.revision);
     codec.flag(share.ended);
     codec.number(share.ageMs);
+    codec.flag(share.leaving);
+    codec.number(share.leavingAgeMs);
 }
 
 /** Visits the fields of a PartEvidence in wire order, for both BinaryWriter and BinaryReader. */
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -1,5 +1,6 @@
 #include "protocol/decidercodec.h"
 
+#include "coordination/entry/messageage.h"
 #include "protocol/binarycodec.h"
 
 #include <algorithm>
@@ -19,7 +20,7 @@
 using coordination::entry::ScheduledRequest;
 
 /** First four bytes of each message; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53434403;
+constexpr std::uint32_t Magic = 0x53434404;
 
 /** Encodes an absent number; a number that is present is never negative. */
 constexpr double NoNumber = -1;
@@ -27,6 +28,9 @@
 /** Most parts of a prompt in a message, as many as a crash accuses; the requester checks those beyond. */
 constexpr std::size_t MaxParts = 64;
 
+/** Most back-offs of targets in a message; a request meets few of them, as its host reports them as well. */
+constexpr std::size_t MaxBackOffs = 32;
+
 /** Visits a number that is not negative or absent. All visit functions serve BinaryWriter and BinaryReader. */
 template <typename Codec, typename Number>
 void visitOptional(Codec &codec, Number &number)
@@ -111,6 +115,12 @@
     for (const std::uint64_t part : std::span(request.parts).first(parts)) {
         writer.number(part);
     }
+    const std::size_t backOffs = std::min(request.backOffs.size(), MaxBackOffs);
+    writer.number(static_cast<std::uint8_t>(backOffs));
+    for (const auto &backOff : std::span(request.backOffs).first(backOffs)) {
+        writer.number(backOff.target);
+        writer.number(coordination::entry::ageMs(now, backOff.until));
+    }
 }
 
 void read(BinaryReader &reader, ScheduledRequest &request, state::Time now)
@@ -145,6 +155,15 @@
     for (std::uint8_t i = 0; i < parts && !reader.failed(); ++i) {
         reader.number(request.parts.emplace_back());
     }
+    std::uint8_t backOffs = 0;
+    reader.number(backOffs);
+    for (std::uint8_t i = 0; i < backOffs && !reader.failed(); ++i) {
+        auto &backOff = request.backOffs.emplace_back();
+        std::uint32_t remainingMs = 0;
+        reader.number(backOff.target);
+        reader.number(remainingMs);
+        backOff.until = now + std::chrono::milliseconds(remainingMs);
+    }
 }
 
 template <typename Codec, typename Value>
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -11,16 +11,17 @@
 namespace {
 
 using coordination::entry::ActiveRequest;
-using coordination::entry::StatementShare;
+using coordination::entry::BackOffShare;
 using coordination::entry::PartEvidence;
 using coordination::entry::PeerReport;
 using coordination::entry::QuotaShare;
 using coordination::entry::SentShare;
+using coordination::entry::StatementShare;
 using coordination::entry::TargetShare;
 using coordination::entry::VersionShare;
 
 /** First four bytes of each report; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53435205;
+constexpr std::uint32_t Magic = 0x53435206;
 
 // Each visit function lists the fields of one struct in wire order, for both BinaryWriter and BinaryReader.
 
@@ -78,6 +79,14 @@
     codec.number(share.requests);
 }
 
+template <typename Codec, typename Share>
+requires std::same_as<std::remove_const_t<Share>, BackOffShare>
+void visit(Codec &codec, Share &share)
+{
+    codec.number(share.target);
+    codec.number(share.remainingMs);
+}
+
 template <typename Codec, typename Share>
 requires std::same_as<std::remove_const_t<Share>, PartEvidence>
 void visit(Codec &codec, Share &share)
@@ -135,6 +144,7 @@
     writer.number(report.statementsDigest);
     writeList(writer, report.statements);
     writeList(writer, report.sent);
+    writeList(writer, report.backOffs);
     writer.number(report.suspectsDigest);
     writeList(writer, report.suspects);
     return writer.take();
@@ -160,6 +170,7 @@
     reader.number(report.statementsDigest);
     readList(reader, report.statements);
     readList(reader, report.sent);
+    readList(reader, report.backOffs);
     reader.number(report.suspectsDigest);
     readList(reader, report.suspects);
     if (reader.failed() || !reader.atEnd()) {
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -216,7 +216,7 @@
     m_fleet.setCanDecide(m_context.targetsCurrent, m_context.stopping);
     m_fleet.setTargetsConfirmed(m_context.targetsConfirmed, coordination::entry::maxTargetsAge(m_settings.bounds));
     m_fleet.tick(now);
-    logLearnedLimits(now);
+    logLearnedStatements(now);
     logSuspectChanges();
     logDeciderChange(now);
     m_peers->sendDueReports(now);
@@ -238,9 +238,18 @@
     m_scheduler->setDeciders(decides ? 1 : known);
 }
 
-/** Logs the limits of targets that have changed by what other hosts know. */
-void EntryHost::logLearnedLimits(state::Time now)
+/** Logs the statements of targets that have changed by what other hosts know. */
+void EntryHost::logLearnedStatements(state::Time now)
 {
+    for (const auto &[hash, since] : m_scheduler->statements().takeLearnedLeaving()) {
+        const auto *target = m_scheduler->targets().findByHash(hash);
+        logEvent("target_leaving",
+                 { { "target", target == nullptr ? "unknown" : target->entry().id },
+                   { "target_hash", std::to_string(hash) },
+                   { "before", "no" },
+                   { "source", "peer" },
+                   { "age_ms", milliseconds(now - since) } });
+    }
     for (const std::uint32_t hash : m_scheduler->statements().takeLearned()) {
         const auto *target = m_scheduler->targets().findByHash(hash);
         logEvent("target_limit_changed",
@@ -402,6 +411,10 @@
     text += "sapphirecove_suspect_parts " + std::to_string(m_scheduler->suspects().suspectCount()) + '\n';
     text += "sapphirecove_blocked_parts " + std::to_string(m_scheduler->suspects().blockedCount()) + '\n';
     text += "sapphirecove_target_limits " + std::to_string(m_scheduler->statements().inForce()) + '\n';
+    const auto &statements = m_scheduler->statements();
+    const std::size_t backingOff = statements.backingOffCount(m_context.now());
+    text += "sapphirecove_targets_leaving " + std::to_string(statements.leavingCount()) + '\n';
+    text += "sapphirecove_targets_backing_off " + std::to_string(backingOff) + '\n';
     return makeResponse(request, http::status::ok, MetricsMediaType, std::move(text));
 }
 
--- a/src/transport/entry/entryhost.h
+++ b/src/transport/entry/entryhost.h
@@ -75,7 +75,7 @@
     void tick();
     void scheduleTick();
     void updatePeers(state::Time now);
-    void logLearnedLimits(state::Time now);
+    void logLearnedStatements(state::Time now);
     void logSuspectChanges();
     void logDeciderChange(state::Time now);
     void waitForSignal();
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -32,6 +32,15 @@
 /** Retry-After when a target did not accept the request. */
 constexpr state::Duration TargetRetryAfter = std::chrono::milliseconds(300);
 
+/** Longest Retry-After when the targets of a service take no requests; as when they are overloaded. */
+constexpr state::Duration MaxTargetRetryAfter = std::chrono::seconds(5);
+
+/**
+ * Placements of one request that may be given back since the target has asked for no requests meanwhile; each of them
+ * takes a round trip to the decider.
+ */
+constexpr std::size_t MaxWithheldPlacements = 8;
+
 /**
  * Time without a first byte, as a multiple of the route's latency target, after which a retryable request moves to
  * another target.
@@ -208,6 +217,9 @@
         if (result.outcome == AttemptOutcome::Unreachable && !m_streamStarted) {
             ++unreachable;
         }
+        if (mayPlaceAgain(result)) {
+            continue;
+        }
         if (unreachable < MaxUnreachableAttempts && mayRetry(result)) {
             if (result.outcome == AttemptOutcome::ServerError) {
                 targetErrorResponse = std::move(result.response);
@@ -247,6 +259,7 @@
     request.excludedTargets = m_triedTargets;
     request.excludedTargets.insert(request.excludedTargets.end(), m_rejectingTargets.begin(), m_rejectingTargets.end());
     request.parts = m_admitted.suspects;
+    request.backOffs = m_backOffs;
     if (!m_quotaCharged) {
         request.customer = m_admitted.customer;
         request.cost = m_admitted.cost;
@@ -304,6 +317,42 @@
     co_return std::nullopt;
 }
 
+/** Returns until when the target of @p decision takes no requests from this host; nothing if it takes them now. */
+std::optional<state::Time> Exchange::closedUntil(const Decision &decision) const
+{
+    return m_context.scheduler.statements().closedUntil(decision.targetHash, {}, m_context.now());
+}
+
+/** Returns whether the request may be placed again, as the last target has wanted no requests and got nothing. */
+bool Exchange::mayPlaceAgain(const AttemptResult &result) const
+{
+    return result.withheld && m_state == State::Open && m_backOffs.size() < MaxWithheldPlacements;
+}
+
+/** Records that the request was not sent to @p target, to which it was placed before the target's statement was known.
+ */
+void Exchange::recordWithheld(const state::entry::TargetEntry &target)
+{
+    const state::Time now = m_context.now();
+    const state::Time until = closedUntil(*m_decision).value_or(now);
+    m_backOffs.push_back({ m_decision->targetHash, std::min(until, m_admitted.deadline) });
+    m_context.metrics.count("placements_withheld_total");
+    logEvent("placement_withheld",
+             { { "request", m_admitted.fields.attemptId },
+               { "target", target.id },
+               { "decider", m_decision->decider },
+               { "leaving", until == state::Time::max() ? "yes" : "no" },
+               { "times", std::to_string(m_backOffs.size()) } });
+    m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
+}
+
+/** Returns the time after which a caller whose request no target took may return. */
+state::Duration Exchange::ownRetryAfter() const
+{
+    const state::Duration toOpen = m_context.scheduler.timeToOpen(m_admitted.service, m_context.now());
+    return std::clamp(toOpen, TargetRetryAfter, MaxTargetRetryAfter);
+}
+
 /** Returns whether this host knows that the request crashes the target of @p decision. */
 bool Exchange::blockedHere(const Decision &decision) const
 {
@@ -343,7 +392,7 @@
 
 std::shared_ptr<TargetAttempt> Exchange::makeAttempt(const Decision &decision)
 {
-    if (blockedHere(decision)) {
+    if (blockedHere(decision) || closedUntil(decision)) {
         return nullptr;
     }
     return std::make_shared<TargetAttempt>(m_context, attemptTarget(decision), inactivityTimeouts(m_context.now()));
@@ -353,6 +402,7 @@
 {
     const state::Time now = m_context.now();
     const bool moves = m_state == State::Open && m_attempt && m_attempt->isSilent(now) && !blockedHere(decision)
+        && !closedUntil(decision)
         && m_context.scheduler.retryBudget().take(m_admitted.service, m_context.fleet.hosts(now), now);
     if (!moves) {
         return std::nullopt;
@@ -375,7 +425,9 @@
     const std::uint64_t id = decision.request;
     ServingContext &context = m_context;
     m_mayHaveRun = m_mayHaveRun || result.mayHaveRun;
-    if (rejected) {
+    if (result.withheld) {
+        std::erase(m_triedTargets, decision.target.id); // Nothing was sent.
+    } else if (rejected) {
         std::erase(m_triedTargets, decision.target.id); // It did not run there.
         m_rejectingTargets.push_back(decision.target.id);
         result.outcome = AttemptOutcome::NotExecuted;
@@ -454,6 +506,12 @@
         m_context.fleet.finished(m_id, result.outcome, 0, now);
         co_return result;
     }
+    if (closedUntil(*m_decision)) {
+        result.outcome = AttemptOutcome::Abandoned;
+        result.withheld = true;
+        recordWithheld(m_decision->target);
+        co_return result;
+    }
     recordDispatch(*m_decision, now);
     Request request = forwardRequest(*m_decision, now);
     m_attempt = std::make_shared<TargetAttempt>(m_context, attemptTarget(*m_decision), inactivityTimeouts(now));
@@ -471,6 +529,16 @@
     const bool streaming = m_admitted.route->kind == RequestKind::Streaming;
     result = co_await m_attempt->finish(begun, std::move(result), streaming, *this);
     m_attempt.reset();
+    if (result.withheld && m_state == State::Open) {
+        m_triedTargets.pop_back();
+        recordWithheld(entry);
+        co_return result;
+    }
+    // The target's time to come back concerns that target only.
+    if (result.response && result.response->result() == http::status::service_unavailable
+        && result.response->count(http::field::retry_after) > 0) {
+        setRetryAfter(*result.response, ownRetryAfter());
+    }
     co_await classifyFailure(result, entry);
     if (m_streamStarted && result.response) {
         recordRefusal(result);
@@ -609,7 +677,7 @@
                             : makeErrorResponse(http::status::service_unavailable, "timed_out");
     }
     if (!m_mayHaveRun) {
-        return makeErrorResponse(http::status::service_unavailable, nameOf(result.outcome), TargetRetryAfter);
+        return makeErrorResponse(http::status::service_unavailable, nameOf(result.outcome), ownRetryAfter());
     }
     return makeErrorResponse(http::status::bad_gateway, nameOf(result.outcome));
 }
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -62,6 +62,10 @@
     void requestHandover(state::Time now);
     void endAttempt(state::Time now);
     bool endsSoon(state::Time now) const;
+    std::optional<state::Time> closedUntil(const coordination::entry::Decision &decision) const;
+    bool mayPlaceAgain(const AttemptResult &result) const;
+    void recordWithheld(const state::entry::TargetEntry &target);
+    state::Duration ownRetryAfter() const;
     bool blockedHere(const coordination::entry::Decision &decision) const;
     void refuseIfBlocked();
     void recordDispatch(const coordination::entry::Decision &decision, state::Time now);
@@ -105,6 +109,7 @@
     std::vector<std::string> m_triedTargets;
     std::vector<std::string>
         m_rejectingTargets; /**< that refused to go on with a stream or to take over; not counted as tried */
+    std::vector<coordination::entry::BackOff> m_backOffs; /**< that made this host refuse placements */
     protocol::EventSequence m_events; /**< that reached the caller */
     std::optional<state::Time> m_firstEventAt;
     state::Time m_lastEventAt{};
--- a/src/transport/entry/responses.cpp
+++ b/src/transport/entry/responses.cpp
@@ -32,14 +32,19 @@
     Response response(status, 11);
     response.set(http::field::content_type, ProblemType);
     if (retryAfter) {
-        char text[32];
-        std::snprintf(text, sizeof text, "%.3f", state::toSeconds(*retryAfter));
-        response.set(http::field::retry_after, text);
+        setRetryAfter(response, *retryAfter);
     }
     response.body() = std::string(ReasonPrefix) + std::string(reason) + std::string(ReasonSuffix);
     return response;
 }
 
+void setRetryAfter(Response &response, state::Duration retryAfter)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", state::toSeconds(retryAfter));
+    response.set(http::field::retry_after, text);
+}
+
 std::string_view errorReason(const Response &response)
 {
     std::string_view body = response.body();
--- a/src/transport/entry/responses.h
+++ b/src/transport/entry/responses.h
@@ -19,6 +19,9 @@
                            std::string_view reason,
                            std::optional<state::Duration> retryAfter = {});
 
+/** Sets the time after which the caller may return. */
+void setRetryAfter(Response &response, state::Duration retryAfter);
+
 /** Returns the reason in an error response of the host itself; empty for a response of a target. */
 std::string_view errorReason(const Response &response);
 
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -43,6 +43,9 @@
 /** Responses to other requests that are skipped on one connection before it counts as broken. */
 constexpr int MaxUnrelatedResponses = 4;
 
+/** Most characters of a field that cannot be read in the log. */
+constexpr std::size_t MaxLoggedField = 100;
+
 /** Informational (1xx) responses that are accepted before the final one; one or two are usual. */
 constexpr int MaxInformationalResponses = 16;
 
@@ -67,6 +70,9 @@
             co_return false;
         }
     }
+    if (isWithheld(result)) {
+        co_return false;
+    }
     auto message = std::make_shared<Request>(std::move(request));
     const bool sent = co_await send(std::move(message), result);
     if (!sent) {
@@ -88,7 +94,7 @@
     if (m_response.notExecuted) {
         result.mayHaveRun = false;
     }
-    recordRateStatement(m_response);
+    recordStatement(m_response);
     co_return true;
 }
 
@@ -154,9 +160,21 @@
     co_return true;
 }
 
+/** Returns whether the target has said while the connection was established that it wants no requests. */
+bool TargetAttempt::isWithheld(AttemptResult &result) const
+{
+    if (!m_context.scheduler.statements().closedUntil(m_target.hash, {}, m_context.now())) {
+        return false;
+    }
+    result.outcome = AttemptOutcome::Abandoned;
+    result.withheld = true;
+    return true;
+}
+
 asio::awaitable<bool> TargetAttempt::send(std::shared_ptr<Request> request, AttemptResult &result)
 {
     m_sent = true;
+    m_sentAt = m_context.now();
     m_firstOnConnection = !std::exchange(m_connection->used, true);
     result.mayHaveRun = true;
     startInactivityTimer(m_timeouts.firstByte);
@@ -203,32 +221,68 @@
     }
 }
 
-/** Applies and logs what the header of a response states about the limit of its target. */
-void TargetAttempt::recordRateStatement(const ResponseFields &response)
+/** Applies what the header of a response states about its target. */
+void TargetAttempt::recordStatement(const ResponseFields &response)
 {
     using coordination::entry::RateStatement;
-    // A response without a signature may be anyone's: reason enough to be careful, but not to end a limit.
-    const bool isSure = response.hasSignature || response.notExecuted;
-    const bool isMisdirected = m_parser->get().result() == http::status::misdirected_request;
-    if (isMisdirected || (!isSure && response.rate.kind == RateStatement::Kind::None)) {
+    // Another incarnation speaks for itself only.
+    if (m_parser->get().result() == http::status::misdirected_request) {
         return;
     }
+    coordination::entry::SelfStatement statement = response.statement;
+    // A response without a signature may be anyone's: reason enough to be careful, but not to end a limit.
+    if (!response.hasSignature && !response.notExecuted && statement.rate.kind == RateStatement::Kind::None) {
+        statement.rate.kind = RateStatement::Kind::Malformed;
+    }
     const state::Time now = m_context.now();
     auto &statements = m_context.scheduler.statements();
-    if (response.rate.kind == RateStatement::Kind::Limit) {
+    const std::string limitBefore = describeLimit(statements.find(m_target.hash), now);
+    const auto changes = statements.heard(m_target.hash, statement, m_sentAt, now);
+    if (statement.leaving) {
+        m_context.pool.closeAll(m_target.id);
+    }
+    logStatementChanges(response, changes, limitBefore);
+}
+
+void TargetAttempt::logStatementChanges(const ResponseFields &response,
+                                        const coordination::entry::StatementChanges &changes,
+                                        const std::string &limitBefore)
+{
+    using coordination::entry::RateStatement;
+    const auto &statement = response.statement;
+    const std::string hash = std::to_string(m_target.hash);
+    if (statement.rate.kind == RateStatement::Kind::Limit) {
         m_context.metrics.count("answers_with_target_limit_total");
-    } else if (response.rate.kind == RateStatement::Kind::Malformed) {
+    } else if (statement.rate.kind == RateStatement::Kind::Malformed) {
         m_context.metrics.count("target_limits_malformed_total");
         logEvent("target_limit_malformed", { { "target", m_target.id } });
     }
-    const auto *known = statements.find(m_target.hash);
-    const std::string before = describeLimit(known, now);
-    if (statements.responded(m_target.hash, response.rate, now)) {
+    if (!response.malformedStatement.empty()) {
+        m_context.metrics.count("target_statements_malformed_total");
+        logEvent("target_statement_malformed",
+                 { { "target", m_target.id }, { "field", response.malformedStatement.substr(0, MaxLoggedField) } });
+    }
+    if (changes.limit) {
+        const auto *limit = m_context.scheduler.statements().find(m_target.hash);
         logEvent("target_limit_changed",
                  { { "target", m_target.id },
-                   { "target_hash", std::to_string(m_target.hash) },
-                   { "limit", describeLimit(statements.find(m_target.hash), now) },
-                   { "before", before },
+                   { "target_hash", hash },
+                   { "limit", describeLimit(limit, m_context.now()) },
+                   { "before", limitBefore },
+                   { "source", "response" } });
+    }
+    if (changes.leaving) {
+        m_context.metrics.count("targets_heard_leaving_total");
+        logEvent("target_leaving",
+                 { { "target", m_target.id }, { "target_hash", hash }, { "before", "no" }, { "source", "response" } });
+    }
+    if (changes.backOff) {
+        m_context.metrics.count("target_back_offs_total");
+        logEvent("target_backs_off",
+                 { { "target", m_target.id },
+                   { "target_hash", hash },
+                   { "stated_ms", milliseconds(*statement.backOff) },
+                   { "before", "none" },
                    { "source", "response" } });
     }
 }
@@ -384,7 +438,8 @@
 {
     const auto &head = m_parser->get();
     const bool cleanEnd = m_connection->buffer.size() == 0 && *m_bodySent && !m_aborted;
-    if (!cleanEnd || !m_parser->keep_alive() || m_parser->need_eof()) {
+    const bool leaves = m_context.scheduler.statements().isLeaving(m_target.hash);
+    if (!cleanEnd || leaves || !m_parser->keep_alive() || m_parser->need_eof()) {
         return;
     }
     m_connection->idleTimeout = keepAliveTimeout(head, DefaultIdleTimeout);
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -40,6 +40,7 @@
 {
     coordination::entry::AttemptOutcome outcome = coordination::entry::AttemptOutcome::Broken;
     bool mayHaveRun = false;
+    bool withheld = false; /**< nothing was sent, as the target has said meanwhile that it wants no requests */
     std::optional<Response> response; /**< complete response that is not an event stream */
     bool streamComplete = false;
     std::uint32_t events = 0;
@@ -119,7 +120,11 @@
     boost::asio::awaitable<bool> readBodyChunk(std::string &bytes, AttemptResult &result);
     boost::asio::awaitable<void> readFullResponse(AttemptResult &result);
     boost::asio::awaitable<void> readStream(StreamSink &sink, AttemptResult &result);
-    void recordRateStatement(const ResponseFields &response);
+    void recordStatement(const ResponseFields &response);
+    void logStatementChanges(const ResponseFields &response,
+                             const coordination::entry::StatementChanges &changes,
+                             const std::string &limitBefore);
+    bool isWithheld(AttemptResult &result) const;
     void returnConnection();
     void startInactivityTimer(state::Duration timeout);
 
@@ -131,6 +136,7 @@
     ResponseFields m_response; /**< of the header in the parser */
     std::shared_ptr<bool> m_bodySent = std::make_shared<bool>(false);
     std::optional<state::Time> m_inactivityDeadline;
+    state::Time m_sentAt{};
     bool m_isHead = false; /**< the request asks for the header of a response only */
     bool m_firstOnConnection = true; /**< no other request was sent on the connection before */
     bool m_eventsForwarded = false;
--- a/src/transport/entry/wirecodec.h
+++ b/src/transport/entry/wirecodec.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/entry/ratestatement.h"
+#include "coordination/entry/selfstatement.h"
 #include "state/entry/routing.h"
 #include "state/entry/targetentry.h"
 #include "state/failure.h"
@@ -45,7 +45,8 @@
     std::string attemptId; /**< attempt that the response belongs to; empty if it names none */
     bool hasSignature = false; /**< carries the target's signature */
     bool notExecuted = false; /**< the target states that it did not run the request */
-    coordination::entry::RateStatement rate;
+    coordination::entry::SelfStatement statement;
+    std::string malformedStatement; /**< name and value of a field that cannot be read as its form demands; or empty */
 };
 
 /** Kind of a record in the operator's topic. */
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -228,6 +228,7 @@
 std::uint64_t SimulatedFleet::submit(int host, ScheduledRequest request, state::Duration work)
 {
     request.id = ++m_lastId;
+    m_requests[request.id] = request;
     m_work[request.id] = work;
     m_parts[request.id] = request.parts;
     SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
@@ -239,7 +240,11 @@
 void SimulatedFleet::placed(int host, const Decision &decision)
 {
     const std::uint64_t id = decision.request;
-    if (!m_decisions.emplace(id, decision).second) {
+    if (!decision.refusal && withhold(host, decision)) {
+        return;
+    }
+    const auto firstId = m_firstIds.find(id);
+    if (!m_decisions.emplace(firstId == m_firstIds.end() ? id : firstId->second, decision).second) {
         ++m_duplicateDecisions;
         return;
     }
@@ -260,6 +265,7 @@
         return;
     }
     respond(host, decision);
+    tellClosing(host, decision);
     if (isDeadly) {
         m_deadlyArrivals.push_back(m_now);
         m_events.emplace(m_now + AnswerDelay, [this, id, target] {
@@ -279,6 +285,82 @@
     });
 }
 
+/**
+ * Gives the placement back and requests another one if the target has told the host to send nothing, as hosts do
+ * before they send a request.
+ */
+bool SimulatedFleet::withhold(int host, const Decision &decision)
+{
+    const SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
+    const auto until = simulatedHost.scheduler->statements().closedUntil(decision.targetHash, {}, m_now);
+    if (!until) {
+        return false;
+    }
+    const auto heard = m_heard.find({ host, decision.targetHash });
+    m_withheld.push_back({ m_now, host, heard == m_heard.end() ? m_now : heard->second.at });
+    const std::uint64_t id = decision.request;
+    ScheduledRequest again = m_requests[id];
+    again.backOffs.push_back({ decision.targetHash, std::min(*until, again.deadline) });
+    const std::uint64_t newId = ++m_lastId;
+    m_firstIds[newId] = m_firstIds.contains(id) ? m_firstIds[id] : id;
+    again.id = newId;
+    m_requests[newId] = again;
+    m_work[newId] = m_work[id];
+    m_parts[newId] = m_parts[id];
+    m_events.emplace(m_now + milliseconds(1), [this, host, id, again] {
+        ended(host, id, AttemptOutcome::Abandoned);
+        SimulatedHost &receiver = *m_hosts[static_cast<std::size_t>(host)];
+        const auto submitAgain = [again](SimulatedHost &resumed) {
+            resumed.fleet.submit(again, resumed.fleetOwner.m_now);
+        };
+        if (receiver.paused) {
+            receiver.queued.push_back(submitAgain);
+        } else if (receiver.alive) {
+            submitAgain(receiver);
+        }
+    });
+    return true;
+}
+
+/** Counts a request that must not arrive, and sends the head of the response if it tells the host to send nothing. */
+void SimulatedFleet::tellClosing(int host, const Decision &decision)
+{
+    const std::uint32_t hash = decision.targetHash;
+    const auto heard = m_heard.find({ host, hash });
+    m_forbiddenArrivals += heard != m_heard.end() && m_now < heard->second.until ? 1 : 0;
+    const auto closing = m_closing.find(decision.target.id);
+    if (closing == m_closing.end() || !closing->second.hearers.contains(host)) {
+        return;
+    }
+    m_events.emplace(m_now + ResponseDelay, [this, host, hash, decision, said = closing->second] {
+        SelfStatement statement;
+        statement.leaving = said.leaving;
+        if (said.backOff > state::Duration::zero()) {
+            statement.backOff = said.backOff;
+            if (m_atTarget[decision.target.id].erase(decision.request) > 0) {
+                ended(host, decision.request, AttemptOutcome::NotExecuted);
+            }
+        }
+        const auto deliver = [this, hash, statement](SimulatedHost &receiver) {
+            receiver.scheduler->statements().heard(hash, statement, m_now - ResponseDelay, m_now);
+            const state::Time until = statement.leaving ? state::Time::max() : m_now + *statement.backOff;
+            Heard &known = m_heard[{ receiver.number, hash }];
+            known = { known.until > m_now ? known.at : m_now, std::max(known.until, until) };
+        };
+        SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
+        if (simulatedHost.paused) {
+            simulatedHost.queued.push_back(deliver);
+        } else if (simulatedHost.alive) {
+            deliver(simulatedHost);
+        }
+    });
+}
+
+void SimulatedFleet::setClosing(const std::string &target, bool leaving, state::Duration backOff, std::set<int> hearers)
+{
+    m_closing[target] = { leaving, backOff, std::move(hearers) };
+}
+
 void SimulatedFleet::crash(const std::string &target)
 {
     for (const auto &[id, host] : std::exchange(m_atTarget[target], {})) {
@@ -287,6 +369,7 @@
         });
     }
     m_crashed.insert(target);
+    m_closing.erase(target);
     m_events.emplace(m_now + DownTime, [this, target] {
         m_crashed.erase(target);
         ++m_starts[target];
@@ -320,7 +403,7 @@
         const RateStatement statement = m_statements[target];
         SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
         const auto deliver = [this, target, hash, statement](SimulatedHost &receiver) {
-            receiver.scheduler->statements().responded(hash, statement, m_now);
+            receiver.scheduler->statements().heard(hash, { statement, false, {} }, m_now - ResponseDelay, m_now);
             if (statement.kind == RateStatement::Kind::Limit) {
                 m_limitToldAt.emplace(std::pair(target, receiver.number), m_now);
             }
@@ -378,6 +461,9 @@
     auto &current = m_hosts[static_cast<std::size_t>(host)];
     current->alive = false;
     m_ended.push_back(std::move(current));
+    std::erase_if(m_heard, [host](const auto &entry) {
+        return entry.first.first == host;
+    });
     current = std::make_unique<SimulatedHost>(*this, host);
     prepare(*current);
 }
--- a/tests/coordination/entry/simulatedfleet.h
+++ b/tests/coordination/entry/simulatedfleet.h
@@ -55,6 +55,12 @@
     /** Makes the responses of @p target state @p statement from now on. */
     void setStatement(const std::string &target, const RateStatement &statement);
 
+    /**
+     * Makes @p target tell the hosts in @p hearers that it leaves, or that it wants no requests for @p backOff; such
+     * requests do not run. Holds until the next call and for this incarnation of the target only.
+     */
+    void setClosing(const std::string &target, bool leaving, state::Duration backOff, std::set<int> hearers);
+
     /** Makes targets crash when they begin to answer a request with one of @p parts of a prompt. */
     void setDeadlyParts(std::set<std::uint64_t> parts);
 
@@ -94,6 +100,25 @@
         int host = 0;
     };
 
+    /** A placement that its host gave back, as the target had told it to send nothing. */
+    struct Withheld
+    {
+        state::Time at;
+        int host = 0;
+        state::Time heardAt; /**< when the target told it */
+    };
+
+    const std::vector<Withheld> &withheld() const
+    {
+        return m_withheld;
+    }
+
+    /** Number of requests that reached an incarnation whose statement to their host forbade it. */
+    int forbiddenArrivals() const
+    {
+        return m_forbiddenArrivals;
+    }
+
     /** Requests that reached @p target, oldest first. */
     const std::vector<Arrival> &arrivalsAt(const std::string &target) const;
 
@@ -136,10 +161,26 @@
     struct SimulatedHost;
     friend struct SimulatedHost;
 
+    struct Closing
+    {
+        bool leaving = false;
+        state::Duration backOff{};
+        std::set<int> hearers;
+    };
+
+    /** What a host has been told by a target. */
+    struct Heard
+    {
+        state::Time at;
+        state::Time until; /**< the host must send nothing before */
+    };
+
     void post(int from, const std::string &to, std::function<void(SimulatedHost &)> deliver);
     void prepare(SimulatedHost &simulatedHost);
     void placed(int host, const Decision &decision);
     void respond(int host, const Decision &decision);
+    bool withhold(int host, const Decision &decision);
+    void tellClosing(int host, const Decision &decision);
     void ended(int host, std::uint64_t id, AttemptOutcome outcome);
     void relist(const std::string &target);
     void report(int host);
@@ -162,6 +203,12 @@
     std::vector<state::Time> m_deadlyCrashes;
     std::vector<state::Time> m_deadlyArrivals;
     std::map<std::string, RateStatement> m_statements;
+    std::map<std::string, Closing> m_closing;
+    std::map<std::pair<int, std::uint32_t>, Heard> m_heard; /**< by host and incarnation of the target */
+    std::vector<Withheld> m_withheld;
+    int m_forbiddenArrivals = 0;
+    std::map<std::uint64_t, ScheduledRequest> m_requests;
+    std::map<std::uint64_t, std::uint64_t> m_firstIds; /**< of requests that were placed again under another id */
     std::map<std::string, std::vector<Arrival>> m_arrivals;
     std::map<std::pair<std::string, int>, state::Time> m_limitToldAt;
     std::uint64_t m_lastId = 0;
--- a/tests/platform/testplatform.cpp
+++ b/tests/platform/testplatform.cpp
@@ -285,7 +285,7 @@
         for (const auto &value : values) {
             header.insert("Server-Limit", value);
         }
-        return Codec().decodeResponse(header).rate;
+        return Codec().decodeResponse(header).statement.rate;
     };
     CHECK(decode({}).kind == RateStatement::Kind::None);
     const std::pair<const char *, double> limits[] = { { "2.7", 2.7 }, { " 4 ", 4 }, { "0", 0 }, { "0.25", 0.25 } };
@@ -303,6 +303,53 @@
     CHECK(decode({ "3", "30" }).kind == RateStatement::Kind::Malformed);
 }
 
+// Guards against a pause or a leave that is misread, and against one that is invented from nonsense.
+TEST_CASE("leaving and the time without requests are decoded from a target's response", "[platform][statements]")
+{
+    using boost::beast::http::status;
+    const auto decode = [](status code, const std::string &name, const std::vector<std::string> &values) {
+        transport::entry::WireCodec::ResponseHeader header;
+        header.result(code);
+        for (const auto &value : values) {
+            header.insert(name, value);
+        }
+        return Codec().decodeResponse(header);
+    };
+    const auto leaving = [&](const std::vector<std::string> &values) {
+        return decode(status::ok, "server-leaving", values);
+    };
+    CHECK_FALSE(leaving({}).statement.leaving);
+    CHECK(leaving({ "1" }).statement.leaving);
+    CHECK(leaving({ " 1 " }).malformedStatement.empty());
+    CHECK_FALSE(leaving({ "0" }).statement.leaving);
+    CHECK(leaving({ "0", "1" }).statement.leaving);
+    for (const char *text : { "", "yes", "true", "2", "1;q=1", "01" }) {
+        INFO(text);
+        CHECK(leaving({ text }).statement.leaving);
+        CHECK_FALSE(leaving({ text }).malformedStatement.empty());
+    }
+    const auto backOff = [&](const std::vector<std::string> &values, status code = status::service_unavailable) {
+        return decode(code, "Retry-After", values).statement.backOff;
+    };
+    CHECK_FALSE(backOff({}));
+    CHECK(backOff({ "2" }) == std::chrono::seconds(2));
+    CHECK(backOff({ " 0.25 " }) == std::chrono::milliseconds(250));
+    CHECK(backOff({ "0" }) == state::Duration::zero());
+    CHECK(backOff({ "1", "3", "2" }) == std::chrono::seconds(3));
+    CHECK(backOff({ "1", "soon" }) == std::chrono::seconds(1));
+    CHECK(backOff({ std::string(300, '9') }) == std::chrono::hours(24));
+    for (const char *text :
+         { "", "-1", "+1", "soon", "1 s", "1,5", "1e3", "nan", "inf", "0x1F", "Fri, 31 Dec 2027 23:59:59 GMT" }) {
+        INFO(text);
+        CHECK_FALSE(backOff({ text }));
+        CHECK_FALSE(decode(status::service_unavailable, "Retry-After", { text }).malformedStatement.empty());
+    }
+    for (const status code :
+         { status::ok, status::too_many_requests, status::misdirected_request, status::bad_gateway }) {
+        CHECK_FALSE(backOff({ "2" }, code));
+    }
+}
+
 TEST_CASE("the newest records are decoded page by page", "[platform][store]")
 {
     const auto [page, problem] = attempt<NewestPage>([] {
--- a/tests/protocol/testdecidercodec.cpp
+++ b/tests/protocol/testdecidercodec.cpp
@@ -52,6 +52,7 @@
     request.expectedOutputTokens = 80;
     request.excludedTargets = { "i-1", "i-2" };
     request.parts = { 0x0123456789abcdefULL, 2 };
+    request.backOffs = { { 9, Sent + milliseconds(700) } };
     return decisionRequest;
 }
 
@@ -74,6 +75,9 @@
     CHECK(received.request.expectedOutputTokens == 80);
     CHECK(received.request.excludedTargets == sent.request.excludedTargets);
     CHECK(received.request.parts == sent.request.parts);
+    REQUIRE(received.request.backOffs.size() == 1);
+    CHECK(received.request.backOffs.front().target == 9);
+    CHECK(received.request.backOffs.front().until == Received + milliseconds(700));
 }
 
 // Guards against fields that are lost or swapped between encoder and decoder.
--- a/tests/protocol/testpeerreportcodec.cpp
+++ b/tests/protocol/testpeerreportcodec.cpp
@@ -33,7 +33,8 @@
     report.quotas.push_back({ 3, 1e9, 1.5e6F });
     report.versions.push_back({ 4, 5, 6, 100, 90, 10, 95.5F });
     report.statementsDigest = 99;
-    report.statements.push_back({ 7, 2.5F, 3, true, 1200 });
+    report.statements.push_back({ 7, 2.5F, 3, true, 1200, true, 340 });
+    report.backOffs.push_back({ 8, 2500 });
     report.sent.push_back({ 7, 8, 9 });
     report.suspectsDigest = 97;
     report.configuration = 12;
@@ -90,6 +91,11 @@
     CHECK(received->statements[0].revision == 3);
     CHECK(received->statements[0].ended);
     CHECK(received->statements[0].ageMs == 1200);
+    CHECK(received->statements[0].leaving);
+    CHECK(received->statements[0].leavingAgeMs == 340);
+    REQUIRE(received->backOffs.size() == 1);
+    CHECK(received->backOffs[0].target == 8);
+    CHECK(received->backOffs[0].remainingMs == 2500);
     CHECK(received->suspectsDigest == 97);
     CHECK(received->configuration == 12);
     CHECK(received->suspects == sent.suspects);
