--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -162,7 +162,9 @@
             decisions.push_back(refuseBlocked(blocked, now));
         }
     }
-    if (m_statements.anyBackOff(now)) {
+    // Back-offs only grow longer by new statements, so that no other time needs the check.
+    if (m_backOffsApplied != m_statements.backOffsHeard()) {
+        m_backOffsApplied = m_statements.backOffsHeard();
         const auto opensTooLate = [&](const WaitingRequest &request) {
             return now + timeToOpen(request, now) > request.expiresAt;
         };
@@ -199,16 +201,21 @@
 {
     std::vector<TargetLoad *> usable;
     for (TargetLoad *target : m_targets.ofService(service)) {
-        const auto &entry = target->entry();
-        const bool allowed = m_rollouts.mayUse(entry.service, entry.softwareVersion, m_deciders);
-        const bool stays = m_targets.accepts(*target) && !m_statements.isLeaving(target->hash());
-        if (allowed && stays && target->usable(now)) {
+        if (isUsable(*target, now)) {
             usable.push_back(target);
         }
     }
     return usable;
 }
 
+/** Returns whether @p target may be used at all: discovery, its own statement, its health and rollouts permit it. */
+bool Scheduler::isUsable(const TargetLoad &target, state::Time now) const
+{
+    const auto &entry = target.entry();
+    const bool stays = m_targets.accepts(target) && !m_statements.isLeaving(target.hash());
+    return stays && m_rollouts.mayUse(entry.service, entry.softwareVersion, m_deciders) && target.usable(now);
+}
+
 /**
  * Returns whether the streams at @p target stay on time if @p request starts there. On a slow engine, the prefill of a
  * long prompt delays all other streams; short prompts are fine.
@@ -266,7 +273,10 @@
     }
     std::optional<state::Time> first;
     const auto &excluded = request.excludedTargets;
-    for (const TargetLoad *target : usableTargets(request.service, now)) {
+    for (const TargetLoad *target : m_targets.ofService(request.service)) {
+        if (!isUsable(*target, now)) {
+            continue;
+        }
         if (std::find(excluded.begin(), excluded.end(), target->entry().id) != excluded.end()) {
             continue;
         }
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -159,6 +159,7 @@
 
     void decideService(std::string_view service, state::Time now, std::vector<Decision> &decisions);
     std::vector<TargetLoad *> usableTargets(std::string_view service, state::Time now) const;
+    bool isUsable(const TargetLoad &target, state::Time now) const;
     static bool meetsPauseLimit(const TargetLoad &target, const WaitingRequest &request);
     std::vector<TargetLoad *>
     fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now);
@@ -184,6 +185,7 @@
     TargetStatements m_statements;
     CrashSuspects m_suspects;
     std::uint64_t m_blockingsApplied = 0; /**< CrashSuspects::blockings() when waiting requests were last checked */
+    std::uint64_t m_backOffsApplied = 0; /**< backOffsHeard() when waiting requests were last checked */
     RolloutController m_rollouts;
     RouteStatistics m_routes;
     WaitingQueue m_queue;
--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -165,7 +165,10 @@
     if (isNews && end - now >= MinUrgentBackOff) {
         m_urgent = true;
     }
-    item.backOffEnd = std::max(item.backOffEnd, end);
+    if (end > item.backOffEnd) {
+        item.backOffEnd = end;
+        ++m_backOffsHeard;
+    }
     extendBackOff(target, item, end, now);
     return isNews;
 }
@@ -240,12 +243,13 @@
     if (!known) {
         peer = { report.incarnation, now, {}, {} };
     }
-    peer.backOffEnds.clear();
+    const auto endsBefore = std::exchange(peer.backOffEnds, {});
     for (const BackOffShare &share : report.backOffs) {
         if (m_items.contains(share.target) || m_items.size() < MaxTargets) {
             const state::Duration remaining =
                 std::min<state::Duration>(std::chrono::milliseconds(share.remainingMs), MaxBackOff);
             peer.backOffEnds[share.target] = now + remaining;
+            m_backOffsHeard += endsBefore.contains(share.target) ? 0 : 1;
             extendBackOff(share.target, itemOf(share.target, now), now + remaining, now);
         }
     }
--- a/src/coordination/entry/targetstatements.h
+++ b/src/coordination/entry/targetstatements.h
@@ -85,6 +85,12 @@
         return now < m_lastBackOffEnd;
     }
 
+    /** Returns a number that grows whenever a target asks any host for a longer time without requests. */
+    std::uint64_t backOffsHeard() const
+    {
+        return m_backOffsHeard;
+    }
+
     /** Returns whether the rate at @p target, its limit or that after a back-off, permits a request now. */
     bool mayDispatch(std::uint32_t target, state::Time now);
 
@@ -181,6 +187,7 @@
     std::vector<std::uint32_t> m_learned;
     std::vector<std::pair<std::uint32_t, state::Time>> m_learnedLeaving;
     state::Time m_lastBackOffEnd{}; /**< of all targets and hosts */
+    std::uint64_t m_backOffsHeard = 0;
     bool m_urgent = false;
 };
 
