Test two hosts of which one has heard that a target leaves

Guards against a host that sends what another one places, while that one has not heard the statement, and against statements that outlive their incarnation.

--- a/tests/transport/entry/testtargetstatements.cpp
+++ b/tests/transport/entry/testtargetstatements.cpp
@@ -1,4 +1,5 @@
 #include "tests/transport/entry/entryfixture.h"
+#include "tests/transport/entry/storehost.h"
 
 #include <chrono>
 
@@ -252,3 +253,49 @@
     CHECK(contains(metrics, "sapphirecove_targets_leaving 1\n"));
     CHECK(contains(metrics, "sapphirecove_targets_backing_off 1\n"));
 }
+
+// Guards against a placement by another host, which has not heard of the statement yet, and against statements that
+// outlive their incarnation.
+TEST_CASE("a host withholds what another host places at a target that has told it to leave",
+          "[entry][host][statements]")
+{
+    using Topic = transport::entry::StoreTopic;
+    const auto document = [](std::uint16_t port, int born) {
+        return R"({"service":"s","address":"127.0.0.1:)" + std::to_string(port)
+            + R"(","zone":"osu","version":"v1","concurrency":4,"state":"ready","sequence":1,"born":)"
+            + std::to_string(born) + "}";
+    };
+    std::atomic<bool> leaves = false;
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.write(response(leaves ? "Server-Leaving: 1\r\n" : ""));
+    });
+    RestorableStore store;
+    store.write(
+        Topic::Operator,
+        "config",
+        R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/r/","kind":"idempotent",)"
+        R"("timeoutMs":1500,"targetLatencyMs":150,"priority":0,"service":"s","maxAttempts":1,"public":false}],)"
+        R"("services":[{"name":"s"}],"tenants":[{"name":"t1","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})");
+    store.write(Topic::Targets, "i-1", document(target.port(), 1000));
+    StoreHost one(store, "host-1", true);
+    StoreHost two(store, "host-2", false);
+    REQUIRE(one.comesTo("/r/", " 200 "));
+    REQUIRE(two.comesTo("/r/", " 200 "));
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500)); // The hosts have reported to each other.
+    int born = 1000;
+    for (StoreHost *host : { &one, &two }) {
+        leaves = true;
+        CHECK(contains(host->call("/r/"), "Server-Leaving: 1"));
+        const std::size_t before = target.requests().size();
+        store.goAway();
+        for (int i = 0; i < 3; ++i) {
+            CHECK(contains(host->call("/r/"), " 503 "));
+        }
+        CHECK(target.requests().size() == before);
+        store.returnWhole();
+        leaves = false;
+        born += 1000;
+        store.write(Topic::Targets, "i-1", document(target.port(), born));
+        CHECK(host->comesTo("/r/", " 200 "));
+    }
+}
