Let each statement of a target end by itself

Cause, found by reading: a record stayed whole while any of its statements was in force, so that an old limit of a leaving target was passed on by some hosts and ignored by others, whose digests then differed for up to an hour. A back-off of a peer that grew longer was no news to waiting requests. A request withheld from a leaving target was refused at once if that was the only one, instead of waiting for its replacement.

Change: limit and leaving are dropped separately; a peer's back-off that grows by over 0.1 s counts as new; a withheld placement closes the target to that request for 0.6 s, by when the deciders know.

--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -48,6 +49,9 @@
 constexpr double BackOffDoublingSeconds = 0.25;
 constexpr state::Duration BackOffRamp = std::chrono::seconds(1);
 
+/** Growth of a peer's back-off from which on it is a new one; less is the varying time that reports take. */
+constexpr state::Duration MinNewBackOff = std::chrono::milliseconds(100);
+
 /** Back-offs shorter than this are over before a report could change anything. */
 constexpr state::Duration MinUrgentBackOff = std::chrono::milliseconds(100);
 
@@ -110,8 +114,8 @@
                                  state::Time now)
 {
     const auto found = m_items.find(target);
-    const bool mayBeOlder = found != m_items.end() && !found->second.limit.ended && sent < found->second.limit.statedAt;
     const bool inForce = found != m_items.end() && !found->second.limit.ended;
+    const bool mayBeOlder = inForce && sent < found->second.limit.statedAt;
     switch (statement.kind) {
     case RateStatement::Kind::Malformed:
         return false;
@@ -126,10 +130,10 @@
     case RateStatement::Kind::Limit:
         break;
     }
-    Item *const item = itemOfHeard(target, now);
+    Item &item = itemOfHeard(target, now);
     // As a float, so that the value does not change on its way through messages.
     const double stated = static_cast<float>(std::min(statement.requestsPerSecond, 1e9));
-    TargetLimit &limit = item->limit;
+    TargetLimit &limit = item.limit;
     if (mayBeOlder && stated > limit.requestsPerSecond) {
         return false;
     }
@@ -137,7 +141,7 @@
         m_urgent = true;
     }
     if (!isEffective(limit, now)) {
-        item->pacer = RatePacer(phaseOf(m_self, target), now);
+        item.pacer = RatePacer(phaseOf(m_self, target), now);
     }
     const bool changed = !inForce || limit.requestsPerSecond != stated;
     limit = { stated, false, limit.revision + (changed ? 1 : 0), now };
@@ -147,7 +151,7 @@
 /** Records that @p target is leaving; returns whether that is news. */
 bool TargetStatements::heardLeaving(std::uint32_t target, state::Time now)
 {
-    Item &item = *itemOfHeard(target, now);
+    Item &item = itemOfHeard(target, now);
     const bool isNews = !item.leavingSince;
     if (isNews) {
         item.leavingSince = now;
@@ -160,7 +164,7 @@
 bool TargetStatements::heardBackOff(std::uint32_t target, state::Duration backOff, state::Time now)
 {
     const state::Time end = now + std::min(backOff, MaxBackOff);
-    Item &item = *itemOfHeard(target, now);
+    Item &item = itemOfHeard(target, now);
     const bool isNews = item.backOffEnd <= now && end > now;
     if (isNews && end - now >= MinUrgentBackOff) {
         m_urgent = true;
@@ -248,8 +252,10 @@
         if (m_items.contains(share.target) || m_items.size() < MaxTargets) {
             const state::Duration remaining =
                 std::min<state::Duration>(std::chrono::milliseconds(share.remainingMs), MaxBackOff);
+            const auto before = endsBefore.find(share.target);
+            const bool isNews = before == endsBefore.end() || before->second + MinNewBackOff < now + remaining;
+            m_backOffsHeard += isNews ? 1 : 0;
             peer.backOffEnds[share.target] = now + remaining;
-            m_backOffsHeard += endsBefore.contains(share.target) ? 0 : 1;
             extendBackOff(share.target, itemOf(share.target, now), now + remaining, now);
         }
     }
@@ -409,19 +415,23 @@
     return result;
 }
 
-/** Returns whether @p item still says anything about its target. */
-bool TargetStatements::isKept(const Item &item, state::Time now)
+/** Drops old statements of @p item; returns whether one is left. */
+bool TargetStatements::dropOld(Item &item, state::Time now)
 {
-    const bool isLeaving = item.leavingSince && now - *item.leavingSince <= KeepLeaving;
-    const bool isLimited = item.limit.revision > 0 && now - item.limit.statedAt <= keepFor(item.limit);
-    return isLeaving || isLimited || now < item.lastBackOffEnd + BackOffRamp;
+    if (item.leavingSince && now - *item.leavingSince > KeepLeaving) {
+        item.leavingSince.reset();
+    }
+    if (item.limit.revision > 0 && now - item.limit.statedAt > keepFor(item.limit)) {
+        item.limit = {};
+    }
+    return item.leavingSince || item.limit.revision > 0 || now < item.lastBackOffEnd + BackOffRamp;
 }
 
 void TargetStatements::expire(state::Time now)
 {
-    std::erase_if(m_items, [now](const auto &entry) {
-        return !isKept(entry.second, now);
-    });
+    for (auto entry = m_items.begin(); entry != m_items.end();) {
+        entry = dropOld(entry->second, now) ? std::next(entry) : m_items.erase(entry);
+    }
     const auto isForgotten = [this](const auto &entry) {
         return !m_items.contains(entry.first.first);
     };
@@ -477,7 +487,7 @@
 }
 
 /** Returns the item of a target that this host has heard itself; if there are too many, another one is dropped. */
-TargetStatements::Item *TargetStatements::itemOfHeard(std::uint32_t target, state::Time now)
+TargetStatements::Item &TargetStatements::itemOfHeard(std::uint32_t target, state::Time now)
 {
     if (!m_items.contains(target) && m_items.size() >= MaxTargets) {
         const auto latest = [](const Item &item) {
@@ -487,7 +497,7 @@
             return latest(a.second) < latest(b.second);
         }));
     }
-    return &itemOf(target, now);
+    return itemOf(target, now);
 }
 
 /** Returns the item of @p target; a new one starts with the phase of this process. */
--- a/src/coordination/entry/targetstatements.h
+++ b/src/coordination/entry/targetstatements.h
@@ -166,13 +166,13 @@
     };
 
     Item &itemOf(std::uint32_t target, state::Time now);
-    Item *itemOfHeard(std::uint32_t target, state::Time now);
+    Item &itemOfHeard(std::uint32_t target, state::Time now);
     bool heardRate(std::uint32_t target, const RateStatement &statement, state::Time sent, state::Time now);
     bool heardLeaving(std::uint32_t target, state::Time now);
     bool heardBackOff(std::uint32_t target, state::Duration backOff, state::Time now);
     void extendBackOff(std::uint32_t target, Item &item, state::Time end, state::Time now);
     void mergeLeaving(const StatementShare &share, state::Time now);
-    static bool isKept(const Item &item, state::Time now);
+    static bool dropOld(Item &item, state::Time now);
     static std::optional<double> rateNow(const Item &item, state::Time now);
     void merge(const StatementShare &share, state::Time now);
     static double rateOf(const TargetLimit &limit, state::Time now);
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -35,6 +35,12 @@
 /** Longest Retry-After when the targets of a service take no requests; as when they are overloaded. */
 constexpr state::Duration MaxTargetRetryAfter = std::chrono::seconds(5);
 
+/**
+ * Time after which the deciders know what a target has told this host: an urgent report, lost and sent again. Until
+ * then a request that was withheld must not be placed there again.
+ */
+constexpr state::Duration StatementReportTime = std::chrono::milliseconds(600);
+
 /**
  * Placements of one request that may be given back since the target has asked for no requests meanwhile; each of them
  * takes a round trip to the decider.
@@ -335,7 +341,7 @@
 {
     const state::Time now = m_context.now();
     const state::Time until = closedUntil(*m_decision).value_or(now);
-    m_backOffs.push_back({ m_decision->targetHash, std::min(until, m_admitted.deadline) });
+    m_backOffs.push_back({ m_decision->targetHash, std::min(until, now + StatementReportTime) });
     m_context.metrics.count("placements_withheld_total");
     logEvent("placement_withheld",
              { { "request", m_admitted.fields.attemptId },
--- a/tests/coordination/entry/testtargetstatements.cpp
+++ b/tests/coordination/entry/testtargetstatements.cpp
@@ -103,6 +103,14 @@
     CHECK(statements.isLeaving(39999));
     statements.expire(Start + std::chrono::hours(2));
     CHECK(statements.leavingCount() == 0);
+    // Each statement ends by itself, so that hosts agree about what is known and do not exchange it for ever.
+    statements.heard(1, limit(2), Start, Start);
+    statements.heard(1, leaving(), Start, Start);
+    statements.expire(Start + std::chrono::minutes(30));
+    CHECK(statements.isLeaving(1));
+    TargetStatements other;
+    other.heard(1, leaving(), Start, Start);
+    CHECK(statements.digest() == other.digest());
 }
 
 // Guards against a target that starts again under the same id and is taken for the one that was leaving.
