Reject times in messages between hosts that no clock shows

Cause: durations and times of datagrams were read as any 64-bit number and added to the present time. Sums that overflow are undefined, and may put a deadline or a confirmation anywhere. An exception while a datagram was processed would have ended the process.

Change: times and durations beyond 200 years make a message malformed. An exception rejects, logs and counts the datagram.

Measured: the new case of testdecidercodec.cpp failed before (12 checks) and passes now. No datagram is known that throws.

--- a/src/protocol/binarycodec.h
+++ b/src/protocol/binarycodec.h
@@ -91,11 +91,13 @@
         value = byte != 0;
     }
 
+    /** Reads a time or duration in microseconds. */
     void signedNumber(std::int64_t &value)
     {
         std::uint64_t bits = 0;
         number(bits);
         value = static_cast<std::int64_t>(bits);
+        m_failed = m_failed || value > MaxMicroseconds || value < -MaxMicroseconds;
     }
 
     void real(float &value)
@@ -143,6 +145,9 @@
     }
 
 private:
+    /** 200 years. Sums of such times and durations cannot overflow. */
+    static constexpr std::int64_t MaxMicroseconds = 6'311'520'000'000'000;
+
     std::string_view m_bytes;
     bool m_failed = false;
 };
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -5,6 +5,7 @@
 #include "transport/log.h"
 
 #include <algorithm>
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -76,10 +77,15 @@
 
 void PeerChannel::handleDatagram(std::string_view datagram)
 {
-    if (protocol::isDeciderMessage(datagram)) {
-        handleMessage(datagram);
-    } else {
-        handleReport(datagram);
+    try {
+        if (protocol::isDeciderMessage(datagram)) {
+            handleMessage(datagram);
+        } else {
+            handleReport(datagram);
+        }
+    } catch (const std::exception &exception) {
+        // Without this, one datagram could end the process.
+        rejectMessage({ "peers.receive", m_sender.address().to_string(), exception.what() });
     }
 }
 
--- a/tests/protocol/testdecidercodec.cpp
+++ b/tests/protocol/testdecidercodec.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <optional>
 #include <random>
 
@@ -167,6 +168,27 @@
 }
 
 // Guards against fields that are lost between hosts and invalid host records that are accepted.
+// Guards against times whose sums overflow, which the language leaves undefined.
+TEST_CASE("messages with times or durations beyond any use are rejected", "[entry][decidercodec]")
+{
+    for (const std::int64_t odd : { std::numeric_limits<std::int64_t>::min(),
+                                    std::numeric_limits<std::int64_t>::max(),
+                                    std::int64_t{ 1 } << 60,
+                                    -(std::int64_t{ 1 } << 60) }) {
+        INFO(odd);
+        ReportReply reply;
+        CHECK(decode(encodeDeciderMessage(reply, Deployment, Sent)));
+        reply.confirmedAge = state::Duration(odd);
+        CHECK_FALSE(decode(encodeDeciderMessage(reply, Deployment, Sent)));
+        reply.confirmedAge = {};
+        reply.reportSentAt = odd;
+        CHECK_FALSE(decode(encodeDeciderMessage(reply, Deployment, Sent)));
+        DecisionRequest request = makeDecisionRequest();
+        request.request.latencyTarget = state::Duration(odd);
+        CHECK_FALSE(decode(encodeDeciderMessage(request, Deployment, Sent)));
+    }
+}
+
 TEST_CASE("host records and the operator's state round-trip", "[entry][hostrecord]")
 {
     const KnownHost host{ "front-osu-1", "10.1.0.25", 7600, "accra", 0.12 };
