Send no requests to entries with the address of a host

Cause: an entry of another writer that names a port of this host was used as a target. The host sent requests to itself without the key, which it had taken out, and passed its own 401 on to the caller (DENIED).

Change: entries with a port of this host, or of another host that has reported, are rejected.

Measured: "an entry with the address of this host gets no requests" failed before (no 503) and passes now.

Not covered: another host whose first report arrives after the entry.

--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -852,6 +852,21 @@
         });
 }
 
+/** Returns whether @p entry names a port of this host, or of another one that uses the same ports for callers. */
+bool StoreFollower::isHostAddress(const state::entry::TargetEntry &entry) const
+{
+    const auto &settings = m_context.settings;
+    const bool isListener = entry.port == settings.callers.port || entry.port == settings.readiness.port;
+    if (entry.address == settings.callers.address || entry.address == settings.address) {
+        return isListener || entry.port == settings.peerPort;
+    }
+    const auto &peers = m_context.scheduler.peers().peers();
+    return std::any_of(peers.begin(), peers.end(), [&](const auto &peer) {
+        const auto &report = peer.second.report;
+        return report.address == entry.address && (isListener || report.port == entry.port);
+    });
+}
+
 void StoreFollower::applyTargets(const StorePage &page, bool complete, const TopicState &topicState)
 {
     const state::Time now = m_context.now();
@@ -871,6 +886,9 @@
             record,
             [&]() -> state::Result<void> {
                 BOOST_LEAF_AUTO(entry, m_context.codec.decodeTarget(record.key, *record.value));
+                if (isHostAddress(entry)) {
+                    return state::fail("target.check", record.key, "address of a host of this deployment");
+                }
                 const auto *before = targets.find(entry.id);
                 if (before == nullptr || before->entry().draining != entry.draining
                     || before->entry().startedUnixMs != entry.startedUnixMs) {
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -95,6 +95,7 @@
     bool useConfiguration(const StoreRecord &record);
     void provideToPeers(const StoreRecord &record);
     void applyRollout(const StoreRecord &record);
+    bool isHostAddress(const state::entry::TargetEntry &entry) const;
     void applyTargets(const StorePage &page, bool complete, const TopicState &topicState);
 
     ServingContext &m_context;
--- a/tests/transport/entry/testoddentries.cpp
+++ b/tests/transport/entry/testoddentries.cpp
@@ -177,3 +177,23 @@
         });
     CHECK(decoded);
 }
+
+// Guards against requests that a host sends to itself: they lack the key that it has taken out, so that callers get
+// 401.
+TEST_CASE("an entry with the address of this host gets no requests", "[entry][host][odd]")
+{
+    const auto sound = namedTarget("sound");
+    RestorableStore store;
+    store.write(Topic::Operator, "config", configurationDocument(2));
+    store.write(Topic::Targets, "m", targetDocument(addressOf(*sound)));
+    StoreHost host(store, "host-1", true);
+    REQUIRE(host.comesTo(std::string(Path), "sound"));
+    store.write(Topic::Targets, "own", targetDocument("127.0.0.1:" + std::to_string(host.callerPort())));
+    store.write(Topic::Targets, "m", std::nullopt);
+    std::string response;
+    REQUIRE(waitFor([&] {
+        response = host.call(std::string(Path));
+        return response.find(" 200 ") == std::string::npos;
+    }));
+    CHECK(response.find(" 503 ") != std::string::npos);
+}
