Run a request that has crashed a target one copy at a time

Bursts of a request that crashes targets went on to reach them (BUDGET): six retries later than contactMs after the third crash in a simulated fleet of six hosts that each get it every 6 s, where three are allowed.

Cause: crashes within 150 ms count as one if the later request was sent before the earlier crash was known, as the failure of a domain looks the same. Ruled out: counting them separately for whole requests, as an often repeated request runs at all targets of a failing domain.

While crashes are held against a request, the decider now lets one copy run at a time, so that each further crash counts. An answer ends that. The test failed before (6 retries) and passes, as do all 225 tests of the coordination layer.

--- a/src/coordination/entry/crashsuspects.h
+++ b/src/coordination/entry/crashsuspects.h
@@ -100,6 +100,12 @@
     /** Adds the evidence of another host. */
     void merge(std::span<const PartEvidence> evidence, state::Time now);
 
+    /** Returns whether a target has crashed at a request with @p part and none has answered one since. */
+    bool isAccused(std::uint64_t part) const
+    {
+        return m_accused.contains(part);
+    }
+
     /** Returns whether a request with @p parts may not be sent to targets of @p build. */
     bool isBlocked(std::span<const std::uint64_t> parts, std::uint32_t build) const;
 
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -48,6 +48,9 @@
  */
 constexpr state::Duration AnswerBegun = std::chrono::milliseconds(500);
 
+/** Time from a dispatch after which the same request may run a second time although the first one has not answered. */
+constexpr state::Duration SameRequestWait = std::chrono::seconds(2);
+
 /** Time within which discovery tells that a target has restarted; more than the delay of its list and of the store. */
 constexpr state::Duration RestartKnown = std::chrono::seconds(6);
 
@@ -234,6 +237,9 @@
 {
     std::vector<TargetLoad *> fitting;
     std::vector<TargetLoad *> backingOff;
+    if (mustWaitForSameRequest(request, now)) {
+        return fitting;
+    }
     for (TargetLoad *target : usable) {
         const auto &excluded = request.excludedTargets;
         const bool tried = std::find(excluded.begin(), excluded.end(), target->entry().id) != excluded.end();
@@ -308,6 +314,24 @@
     });
 }
 
+/**
+ * Returns whether @p request has crashed a target, and the same request runs at another one that has not answered yet.
+ * Crashes at the same moment count as one, so that several of them at once would delay the block.
+ */
+bool Scheduler::mustWaitForSameRequest(const WaitingRequest &request, state::Time now) const
+{
+    if (request.parts.empty() || !isRequestSuspect(request.parts.front())
+        || !m_suspects.isAccused(request.parts.front())) {
+        return false;
+    }
+    return std::any_of(m_running.begin(), m_running.end(), [&](const auto &entry) {
+        const Attempt &attempt = entry.second;
+        const bool hasBegun = attempt.firstEventAt && now - *attempt.firstEventAt >= AnswerBegun;
+        return !attempt.parts.empty() && attempt.parts.front() == request.parts.front() && !hasBegun
+            && now - attempt.dispatched < SameRequestWait;
+    });
+}
+
 /** Returns whether @p target may get @p request: none of its parts is blocked there, or a trial is due. */
 bool Scheduler::mayHold(const TargetLoad &target, const WaitingRequest &request, state::Time now) const
 {
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -171,6 +171,7 @@
     state::Duration expectedWait(const WaitingRequest &request, state::Time now);
     void countForRollout(const Attempt &attempt, const TargetLoad *target, AttemptOutcome outcome, double latencyRatio);
     bool isBlocked(std::span<const std::uint64_t> parts, std::string_view service, state::Time now) const;
+    bool mustWaitForSameRequest(const WaitingRequest &request, state::Time now) const;
     bool mayHold(const TargetLoad &target, const WaitingRequest &request, state::Time now) const;
     Decision refuseBlocked(const WaitingRequest &request, state::Time now);
     void recordCrash(const Attempt &attempt, state::Time now);
--- a/tests/coordination/entry/testfleetcrashes.cpp
+++ b/tests/coordination/entry/testfleetcrashes.cpp
@@ -168,6 +168,21 @@
     CHECK(scenario.wronglyRefused() == 0);
 }
 
+// Guards against BUDGET: crashes at the same moment count as one, and the next ones as well.
+TEST_CASE("a request that crashes targets and comes in bursts is blocked in time", "[entry][fleet][crash]")
+{
+    CrashScenario scenario({ 6, 12, 6, 0, 3, 0 });
+    scenario.loadRequests(seconds(1), 20, std::chrono::hours(1), {});
+    for (int burst = 0; burst < 4; ++burst) {
+        for (int host = 0; host < 6; ++host) {
+            scenario.submit(host, { DeadlyRequest }, milliseconds(600));
+        }
+        scenario.fleet().runUntil(scenario.fleet().now() + seconds(6));
+    }
+    CHECK(scenario.lateArrivals(RequestCrashesToLearn) <= AllowedAfter);
+    CHECK(scenario.wronglyRefused() == 0);
+}
+
 // Guards against BUDGET: of hundreds of hosts, hardly any sees a request twice.
 TEST_CASE("a large fleet stops sending a request that crashes targets", "[entry][fleet][crash]")
 {
