review: Show that a stale decider sends requests to a worker that left

Disruption: the store turns the deciding host away, a worker drains, then the next decider and another host are killed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# Replaces machines, then takes power from all of them, and checks that the fleet serves again.
-exec "$(dirname "$0")/../standins/run.sh" "$(dirname "$0")/replacedmachines.py"
+# Turns the deciding host away from the store and checks that nothing goes to a worker that has left.
+exec "$(dirname "$0")/../standins/run.sh" "$(dirname "$0")/staledecider.py"
