Log the progress and the judgement of rollouts with their counts

The logs could not tell late judgement of a bad version from a share that grows past the bound, nor why a good version was rolled back: no line had the share, the counts or the reason.

rollout_progress has them, whenever the share changes or an order ends. It changes no decision: the same tests hold, and the order of the two reasons to roll back matters for the log only.

--- a/src/coordination/entry/rolloutcontroller.cpp
+++ b/src/coordination/entry/rolloutcontroller.cpp
@@ -191,9 +191,14 @@
     const auto counts = countsOfFleet(rollout, peers);
     const double elapsed = state::toSeconds(now - rollout.began) / std::max(0.001, rollout.order.durationSeconds);
     const bool proven = rollout.share > m_bounds.rolloutShare;
-    const bool late = elapsed >= RollbackShare || (elapsed >= ProofShare && !proven);
-    if (late || std::any_of(counts.begin(), counts.end(), regressed)) {
+    const double shareBefore = rollout.share;
+    std::string_view reason;
+    if (std::any_of(counts.begin(), counts.end(), regressed)) {
         rollout.state = RolloutState::RolledBack;
+        reason = "regressed";
+    } else if (elapsed >= RollbackShare || (elapsed >= ProofShare && !proven)) {
+        rollout.state = RolloutState::RolledBack;
+        reason = proven ? "not_done_in_time" : "not_proven_in_time";
     } else {
         growShare(rollout, counts, elapsed);
         if (rollout.share < 1 || othersRunning > 0 || elapsed < DoneNotBefore) {
@@ -202,11 +207,24 @@
             rollout.othersIdleSince = now;
         } else if (now - *rollout.othersIdleSince >= IdleBeforeDone) {
             rollout.state = RolloutState::Done;
+            reason = "others_idle";
         }
     }
     if (rollout.state != RolloutState::Running) {
         changes.push_back({ rollout.order.service, rollout.order.targetVersion, rollout.state });
     }
+    if (rollout.state != RolloutState::Running || rollout.share != shareBefore) {
+        const RouteCounts &sum = counts.back(); // The last entry is the sum over all routes.
+        m_progress.push_back({ rollout.order.service,
+                               rollout.order.targetVersion,
+                               rollout.share,
+                               state::toSeconds(now - rollout.began),
+                               sum.target.dispatched,
+                               sum.target.dispatched + sum.others.dispatched,
+                               sum.target,
+                               sum.others,
+                               reason });
+    }
 }
 
 /** Returns the counts of each route, summed over this host and its peers. */
--- a/src/coordination/entry/rolloutcontroller.h
+++ b/src/coordination/entry/rolloutcontroller.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace sapphirecove::coordination::entry {
@@ -25,6 +26,20 @@
     double latencyRatioSum = 0; /**< over the good responses: time divided by the route's usual time */
 };
 
+/** What is known of a running order, for the log. */
+struct RolloutProgress
+{
+    std::string service;
+    std::string targetVersion;
+    double share = 0; /**< of the requests that may go to the new version */
+    double ageSeconds = 0; /**< since the order was read */
+    double sentToTarget = 0; /**< requests that the fleet has sent to the new version since then */
+    double sentToAll = 0;
+    VersionCounts target; /**< responses on all routes */
+    VersionCounts others;
+    std::string_view reason; /**< why the order has ended; empty while it runs */
+};
+
 /**
  * Rolls services out to new software versions, or back.
  *
@@ -75,6 +90,12 @@
         return changes;
     }
 
+    /** Returns the orders whose share has changed, or that have ended, since the last call. */
+    std::vector<RolloutProgress> takeProgress()
+    {
+        return std::exchange(m_progress, {});
+    }
+
     /** Returns the states of all known orders. */
     std::vector<state::entry::RolloutStatus> states() const;
 
@@ -112,6 +133,7 @@
 
     state::entry::Bounds m_bounds;
     std::map<std::string, Rollout, std::less<>> m_rollouts;
+    std::vector<RolloutProgress> m_progress; /**< not taken yet */
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -546,6 +546,7 @@
                        { "done", status.state == state::entry::RolloutState::Done ? "yes" : "no" } });
             m_unpublishedRollouts[status.service] = status.state;
         }
+        logRolloutProgress();
         const bool publishes = isDecider();
         for (const auto &status : rollouts.states()) {
             const bool running = status.state == state::entry::RolloutState::Running;
@@ -567,6 +568,28 @@
     }
 }
 
+/** Logs the rollouts whose share has changed or that were judged, with the counts that led to it. */
+void StoreFollower::logRolloutProgress()
+{
+    const auto number = [](double count) {
+        return std::to_string(static_cast<std::uint64_t>(count));
+    };
+    for (const auto &progress : m_context.scheduler.rollouts().takeProgress()) {
+        logEvent("rollout_progress",
+                 { { "service", progress.service },
+                   { "version", progress.targetVersion },
+                   { "share", std::to_string(progress.share) },
+                   { "age_s", std::to_string(progress.ageSeconds) },
+                   { "sent", number(progress.sentToTarget) },
+                   { "sent_all", number(progress.sentToAll) },
+                   { "good", number(progress.target.good) },
+                   { "bad", number(progress.target.bad) },
+                   { "others_good", number(progress.others.good) },
+                   { "others_bad", number(progress.others.bad) },
+                   { "reason", std::string(progress.reason) } });
+    }
+}
+
 /** Applies the published outcomes; returns the end of their topic, or nothing if it could not be read. */
 asio::awaitable<std::optional<StoreFollower::TopicEnd>> StoreFollower::readRolloutStatus()
 {
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -81,6 +81,7 @@
     boost::asio::awaitable<void> persistQuotaUse();
     boost::asio::awaitable<void> persistBlockedParts();
     boost::asio::awaitable<void> runRollouts();
+    void logRolloutProgress();
     boost::asio::awaitable<std::optional<TopicEnd>> readRolloutStatus();
     boost::asio::awaitable<bool> publishRolloutStatus(state::entry::RolloutStatus status);
     boost::asio::awaitable<StorePage> read(StoreTopic topic, TopicState &topicState, state::Duration wait);
