--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -72,16 +72,27 @@
     friend bool operator==(const PartEvidence &, const PartEvidence &) = default;
 };
 
-/** Answers of one software version on one route that a host has received since the rollout began. */
+/** Running order to roll a service out whose counts the sender knows; see VersionShare. */
+struct RolloutShare
+{
+    std::uint32_t service = 0; /**< hash of the name */
+    std::uint32_t version = 0; /**< hash of the name of the new version */
+    std::uint32_t ageMs = 0; /**< since the fleet has read the order */
+};
+
+/** Requests to one software version on one route since the rollout began, on the decisions of one process. */
 struct VersionShare
 {
     std::uint32_t service = 0; /**< hash of the name */
     std::uint32_t version = 0; /**< hash of the name of the new version; 0 for all others together */
     std::uint32_t route = 0; /**< hash of the name */
+    std::uint32_t process = 0; /**< that decided, see processHash() */
     std::uint32_t dispatched = 0;
     std::uint32_t good = 0;
     std::uint32_t bad = 0;
-    float latencyRatioSum = 0; /**< sum over good responses of latency divided by the route's usual latency */
+    std::uint32_t timed = 0; /**< see VersionCounts */
+    float latencyLogSum = 0;
+    float latencyLogSquareSum = 0;
 };
 
 /** State that each host sends several times a second to the candidate deciders. */
@@ -101,6 +112,7 @@
     std::vector<TargetShare> targets;
     std::vector<ActiveRequest> active;
     std::vector<QuotaShare> quotas;
+    std::vector<RolloutShare> rollouts;
     std::vector<VersionShare> versions;
     std::uint32_t statementsDigest = 0; /**< of all that the sender knows, see TargetStatements::digest() */
     std::vector<StatementShare> statements; /**< only sent if a recipient may know others */
--- a/src/coordination/entry/rolloutcontroller.cpp
+++ b/src/coordination/entry/rolloutcontroller.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 
 namespace sapphirecove::coordination::entry {
 
@@ -13,92 +12,64 @@
 using state::entry::RolloutState;
 
 /**
- * Fraction of the deployment's bounds on the traffic of a new version that an unproven version gets. The rest covers
- * reports that are on their way.
+ * Fraction of the deployment's bound on the requests of a bad version that is used. The rest covers what is on its way
+ * between hosts, and requests that are counted here and do not arrive.
  */
-constexpr double UsedRolloutShare = 0.5;
+constexpr double UsedBound = 0.9;
 
-/** Good responses of the whole fleet that are required before the share grows. */
-constexpr double ResponsesPerStep = 20;
+/** Fractions of the slack and of the share in that bound that a version on trial gets. */
+constexpr double TrialSlack = 0.3;
+constexpr double TrialShare = 0.4;
 
-/** Step in which the share of a new version grows. */
-struct Step
-{
-    double share;
-    double notBefore; /**< fraction of the order's time: some versions regress only later or under load */
-};
-
-constexpr Step Steps[] = { { 0.25, 0.1 }, { 0.5, 0.2 }, { 1.0, 0.3 } };
+/** Most requests of a trial beyond the slack: more would say nothing new, and are needed for the switch. */
+constexpr double MaxTrialRequests = 25;
 
-/** Fraction of an order's time before which it cannot be done, since that state is final. */
-constexpr double DoneNotBefore = 0.6;
+/** Fraction of an order's time over which the trial's requests are spread, as some versions turn bad only later. */
+constexpr double TrialSpread = 0.85;
 
-/** Minimum number of responses of one route for an evaluation. */
-constexpr double MinResponses = 5;
+/** Good responses of the whole fleet that prove a version. */
+constexpr double ProofResponses = 10;
 
-/** Difference to the failure share of the other versions that is tolerated in addition to noise. */
-constexpr double FailureMargin = 0.05;
+/** Fraction of the requests to a version that has to be answered well: one that sheds or is left proves nothing. */
+constexpr double ProofShare = 0.5;
 
-/** Standard errors of the failure share that count as noise. */
-constexpr double NoiseErrors = 2.5;
+/** Fraction of an order's time after which a version that is not proven is rolled back. */
+constexpr double ProofTime = 0.65;
 
-/** Multiple of the other versions' latency above which a version counts as slow. */
-constexpr double SlowFactor = 1.8;
-
-/**
- * Fraction of an order's time after which a version that is not proven is rolled back. A version is proven once enough
- * good responses have raised its share of the traffic above the deployment's bound for a new version.
+/** Time before the deadline at which an order that is not done is rolled back, so that the operator reads it in time.
  */
-constexpr double ProofShare = 0.6;
+constexpr state::Duration OutcomeReserve = std::chrono::milliseconds(300);
 
-/** Fraction of an order's time after which it is rolled back if it is not done. */
-constexpr double RollbackShare = 0.9;
+/** Usual times of a request after which those at the other versions have ended, and time beyond that. */
+constexpr double SwitchUsualTimes = 3;
+constexpr state::Duration SwitchReserve = std::chrono::milliseconds(500);
 
-/** Time without running requests at the other versions before the order is done: several report intervals. */
-constexpr state::Duration IdleBeforeDone = std::chrono::milliseconds(600);
-
-VersionCounts countsOf(const VersionShare &share)
-{
-    return { static_cast<double>(share.dispatched),
-             static_cast<double>(share.good),
-             static_cast<double>(share.bad),
-             share.latencyRatioSum };
-}
+/** Time without running requests at the other versions before the order is done: more than a report interval. */
+constexpr state::Duration IdleBeforeDone = std::chrono::milliseconds(350);
 
-void add(VersionCounts &counts, const VersionCounts &other)
-{
-    counts.dispatched += other.dispatched;
-    counts.good += other.good;
-    counts.bad += other.bad;
-    counts.latencyRatioSum += other.latencyRatioSum;
-}
-
-VersionShare shareOf(std::uint32_t service, std::uint32_t version, std::uint32_t route, const VersionCounts &counts)
-{
-    return { service,
-             version,
-             route,
-             static_cast<std::uint32_t>(counts.dispatched),
-             static_cast<std::uint32_t>(counts.good),
-             static_cast<std::uint32_t>(counts.bad),
-             static_cast<float>(counts.latencyRatioSum) };
-}
+/**
+ * Multiples of the present rate of requests that must fit into the bound until the deadline: before the switch, after
+ * which the bound still holds for each request, and before the order is done, after which nothing holds them back.
+ */
+constexpr double SwitchRateMargin = 1.15;
+constexpr double DoneRateMargin = 2;
 
-double failureShare(const VersionCounts &counts)
-{
-    const double responses = counts.good + counts.bad;
-    return responses > 0 ? counts.bad / responses : 0;
-}
+/**
+ * Time after which the counts of a process that has announced an order must have arrived: several reports, and the time
+ * for which a host that is paused counts as live.
+ */
+constexpr state::Duration CountsArrive = std::chrono::seconds(3);
 
-double latencyRatio(const VersionCounts &counts)
+double toSecondsLeft(const state::entry::RolloutOrder &order, state::Time began, state::Time now)
 {
-    return counts.good > 0 ? counts.latencyRatioSum / counts.good : 1;
+    return order.durationSeconds - state::toSeconds(now - began);
 }
 
 } // namespace
 
-RolloutController::RolloutController(const state::entry::Bounds &bounds)
+RolloutController::RolloutController(const state::entry::Bounds &bounds, std::uint32_t self)
     : m_bounds(bounds)
+    , m_self(self)
 {
 }
 
@@ -119,20 +90,50 @@
     }
     rollout.order = order;
     rollout.began = now;
-    rollout.share = m_bounds.rolloutShare * UsedRolloutShare;
+    rollout.evidence = RolloutEvidence(m_self);
     m_rollouts[order.service] = std::move(rollout);
 }
 
-void RolloutController::published(const state::entry::RolloutStatus &status)
+void RolloutController::published(const state::entry::RolloutStatus &status, state::Time now)
 {
     const auto found = m_rollouts.find(status.service);
-    const bool matches = found != m_rollouts.end() && found->second.order.targetVersion == status.targetVersion;
-    if (matches && status.state != RolloutState::Running) {
-        found->second.state = status.state;
+    if (found == m_rollouts.end() || found->second.order.targetVersion != status.targetVersion) {
+        return;
+    }
+    Rollout &rollout = found->second;
+    if (status.state != RolloutState::Running) {
+        rollout.state = status.state;
+        return;
+    }
+    rollout.isAnnounced = true;
+    if (!rollout.isInformed && !rollout.uninformedSince) {
+        rollout.uninformedSince = now;
+    }
+}
+
+void RolloutController::announced(const state::entry::RolloutStatus &status, bool stored)
+{
+    Rollout *rollout = running(status.service);
+    if (rollout != nullptr && rollout->order.targetVersion == status.targetVersion) {
+        rollout->isAnnounced = stored;
+        rollout->isInformed = true;
     }
 }
 
-bool RolloutController::mayUse(std::string_view service, std::string_view version, std::size_t hosts) const
+void RolloutController::storeAgain()
+{
+    for (auto &[service, rollout] : m_rollouts) {
+        rollout.isAnnounced = false;
+    }
+}
+
+bool RolloutController::isAnnounced(std::string_view service) const
+{
+    const auto found = m_rollouts.find(service);
+    return found != m_rollouts.end() && found->second.isAnnounced;
+}
+
+bool RolloutController::mayUse(std::string_view service, std::string_view version, std::size_t deciders) const
 {
     const auto found = m_rollouts.find(service);
     if (found == m_rollouts.end()) {
@@ -143,149 +144,206 @@
     if (rollout.state != RolloutState::Running) {
         return isTarget == (rollout.state == RolloutState::Done);
     }
-    if (!isTarget) {
-        return rollout.share < 1;
+    if (!isTarget && rollout.phase == RolloutPhase::Trial) {
+        return true;
     }
-    double target = 0;
-    double all = 0;
-    for (const auto &[route, counts] : rollout.routes) {
-        target += counts.target.dispatched;
-        all += counts.target.dispatched + counts.others.dispatched;
+    // Hosts that decide each for itself cannot share a bound.
+    const RouteCounts counts = rollout.evidence.sum();
+    const bool open = rollout.isInformed && deciders <= 1 && counts.target.dispatched + 1 <= allowance(rollout, counts);
+    return isTarget ? open : !open;
+}
+
+/** Returns how many requests the new version may have got by now. */
+double RolloutController::allowance(const Rollout &rollout, const RouteCounts &counts) const
+{
+    const double share = m_bounds.rolloutShare * (counts.target.dispatched + counts.others.dispatched);
+    if (rollout.phase == RolloutPhase::Switch) {
+        return UsedBound * (share + m_bounds.rolloutSlack);
     }
-    const double slack =
-        m_bounds.rolloutSlack * UsedRolloutShare / static_cast<double>(std::max<std::size_t>(1, hosts));
-    return rollout.share >= 1 || target + 1 <= rollout.share * all + slack;
+    const double spread = std::min(1.0, rollout.elapsed / TrialSpread);
+    return spread * (TrialSlack * m_bounds.rolloutSlack + std::min(TrialShare * share, MaxTrialRequests));
+}
+
+bool RolloutController::prefers(std::string_view service, std::string_view version) const
+{
+    const auto found = m_rollouts.find(service);
+    return found != m_rollouts.end() && found->second.state == RolloutState::Running
+        && found->second.order.targetVersion == version;
 }
 
 void RolloutController::dispatched(std::string_view service, std::string_view version, std::string_view route)
 {
-    if (Rollout *rollout = running(service)) {
-        RouteCounts &counts = rollout->routes[std::string(route)];
-        (version == rollout->order.targetVersion ? counts.target : counts.others).dispatched += 1;
+    if (VersionCounts *counts = countsOf(service, version, route)) {
+        counts->dispatched += 1;
     }
 }
 
 void RolloutController::answered(
     std::string_view service, std::string_view version, std::string_view route, bool good, double latencyRatio)
 {
-    Rollout *rollout = running(service);
-    if (rollout == nullptr) {
+    VersionCounts *counts = countsOf(service, version, route);
+    if (counts == nullptr) {
         return;
     }
-    RouteCounts &counts = rollout->routes[std::string(route)];
-    VersionCounts &versionCounts = version == rollout->order.targetVersion ? counts.target : counts.others;
     if (good) {
-        versionCounts.good += 1;
-        versionCounts.latencyRatioSum += latencyRatio;
+        counts->good += 1;
+        counts->addLatency(latencyRatio);
     } else {
-        versionCounts.bad += 1;
+        counts->bad += 1;
     }
 }
 
-void RolloutController::evaluateRollout(Rollout &rollout,
-                                        std::span<const PeerReport *const> peers,
-                                        std::uint32_t othersRunning,
-                                        state::Time now,
-                                        std::vector<state::entry::RolloutStatus> &changes)
+void RolloutController::abandoned(std::string_view service,
+                                  std::string_view version,
+                                  std::string_view route,
+                                  double latencyRatio)
 {
-    const auto counts = countsOfFleet(rollout, peers);
-    const double elapsed = state::toSeconds(now - rollout.began) / std::max(0.001, rollout.order.durationSeconds);
-    const bool proven = rollout.share > m_bounds.rolloutShare;
-    const double shareBefore = rollout.share;
-    std::string_view reason;
-    if (std::any_of(counts.begin(), counts.end(), regressed)) {
-        rollout.state = RolloutState::RolledBack;
-        reason = "regressed";
-    } else if (elapsed >= RollbackShare || (elapsed >= ProofShare && !proven)) {
-        rollout.state = RolloutState::RolledBack;
-        reason = proven ? "not_done_in_time" : "not_proven_in_time";
-    } else {
-        growShare(rollout, counts, elapsed);
-        if (rollout.share < 1 || othersRunning > 0 || elapsed < DoneNotBefore) {
-            rollout.othersIdleSince.reset();
-        } else if (!rollout.othersIdleSince) {
-            rollout.othersIdleSince = now;
-        } else if (now - *rollout.othersIdleSince >= IdleBeforeDone) {
-            rollout.state = RolloutState::Done;
-            reason = "others_idle";
-        }
-    }
-    if (rollout.state != RolloutState::Running) {
-        changes.push_back({ rollout.order.service, rollout.order.targetVersion, rollout.state });
-    }
-    if (rollout.state != RolloutState::Running || rollout.share != shareBefore) {
-        const RouteCounts &sum = counts.back(); // The last entry is the sum over all routes.
-        m_progress.push_back({ rollout.order.service,
-                               rollout.order.targetVersion,
-                               rollout.share,
-                               state::toSeconds(now - rollout.began),
-                               sum.target.dispatched,
-                               sum.target.dispatched + sum.others.dispatched,
-                               sum.target,
-                               sum.others,
-                               reason });
+    if (VersionCounts *counts = countsOf(service, version, route)) {
+        counts->addLatency(latencyRatio);
     }
 }
 
-/** Returns the counts of each route, summed over this host and its peers. */
-std::vector<RolloutController::RouteCounts> RolloutController::countsOfFleet(const Rollout &rollout,
-                                                                             std::span<const PeerReport *const> peers)
+/** Returns where this process counts what concerns @p version; nullptr if no order runs. */
+VersionCounts *RolloutController::countsOf(std::string_view service, std::string_view version, std::string_view route)
 {
-    const std::uint32_t service = shortHash(rollout.order.service);
-    const std::uint32_t version = shortHash(rollout.order.targetVersion);
-    std::map<std::uint32_t, RouteCounts> byRoute;
-    for (const auto &[route, counts] : rollout.routes) {
-        byRoute[shortHash(route)] = counts;
+    Rollout *rollout = running(service);
+    if (rollout == nullptr) {
+        return nullptr;
     }
-    for (const PeerReport *peer : peers) {
-        for (const auto &share : peer->versions) {
-            if (share.service != service) {
-                continue;
+    RouteCounts &counts = rollout->evidence.own(route);
+    return version == rollout->order.targetVersion ? &counts.target : &counts.others;
+}
+
+void RolloutController::learn(const std::map<std::string, Peer, std::less<>> &peers, state::Time now)
+{
+    for (auto &[name, rollout] : m_rollouts) {
+        if (rollout.state != RolloutState::Running) {
+            continue;
+        }
+        const std::uint32_t service = shortHash(name);
+        const std::uint32_t version = shortHash(rollout.order.targetVersion);
+        for (const auto &[host, peer] : peers) {
+            for (const RolloutShare &share : peer.report.rollouts) {
+                if (share.service == service && share.version == version) {
+                    const auto age = std::chrono::milliseconds(share.ageMs);
+                    rollout.began = std::min(rollout.began, peer.lastReportAt - age);
+                    rollout.isInformed = true;
+                    rollout.uninformedSince.reset();
+                    rollout.evidence.learn(peer.report.versions, service, version);
+                }
             }
-            RouteCounts &counts = byRoute[share.route];
-            add(share.version == version ? counts.target : counts.others, countsOf(share));
         }
+        rollout.evidence.compare(now);
+        rollout.elapsed = state::toSeconds(now - rollout.began) / std::max(0.001, rollout.order.durationSeconds);
     }
-    std::vector<RouteCounts> result;
-    RouteCounts sum;
-    for (const auto &[route, counts] : byRoute) {
-        result.push_back(counts);
-        add(sum.target, counts.target);
-        add(sum.others, counts.others);
-    }
-    result.push_back(sum);
-    return result;
 }
 
-bool RolloutController::regressed(const RouteCounts &counts)
+std::vector<state::entry::RolloutStatus> RolloutController::evaluate(const OthersLoadOf &othersLoad, state::Time now)
 {
-    const double responses = counts.target.good + counts.target.bad;
-    if (responses < MinResponses) {
-        return false;
+    std::vector<state::entry::RolloutStatus> changes;
+    for (auto &[service, rollout] : m_rollouts) {
+        if (rollout.state != RolloutState::Running) {
+            continue;
+        }
+        judge(rollout, othersLoad(service, rollout.order.targetVersion), now);
+        if (rollout.state != RolloutState::Running) {
+            changes.push_back({ service, rollout.order.targetVersion, rollout.state });
+        }
     }
-    const double usual = failureShare(counts.others);
-    const double noise = std::sqrt(std::max(usual, FailureMargin) / responses);
-    const bool failing = failureShare(counts.target) > usual + FailureMargin + NoiseErrors * noise;
-    const bool slow = counts.target.good >= MinResponses && counts.others.good >= MinResponses
-        && latencyRatio(counts.target) > SlowFactor * latencyRatio(counts.others);
-    return failing || slow;
+    return changes;
 }
 
-void RolloutController::growShare(Rollout &rollout, const std::vector<RouteCounts> &counts, double elapsed)
+void RolloutController::judge(Rollout &rollout, const OthersLoad &others, state::Time now)
 {
-    const double good = counts.back().target.good; // The last entry is the sum over all routes.
-    if (rollout.share >= 1 || good - rollout.goodAtStep < ResponsesPerStep) {
-        return;
+    if (rollout.phase == RolloutPhase::Trial || others.running > 0) {
+        rollout.othersIdleSince.reset();
+    } else if (!rollout.othersIdleSince) {
+        rollout.othersIdleSince = now;
     }
-    const auto next = std::find_if(std::begin(Steps), std::end(Steps), [&](const Step &step) {
-        return step.share > rollout.share;
-    });
-    if (next != std::end(Steps) && elapsed >= next->notBefore) {
-        rollout.share = next->share;
-        rollout.goodAtStep = good;
+    const bool othersIdle = rollout.othersIdleSince && now - *rollout.othersIdleSince >= IdleBeforeDone;
+    const bool isLate = toSecondsLeft(rollout.order, rollout.began, now) <= state::toSeconds(OutcomeReserve);
+    const std::string_view reason = rollbackReason(rollout);
+    if (!reason.empty() || isUninformed(rollout, now)) {
+        rollout.state = RolloutState::RolledBack;
+        recordProgress(rollout, reason.empty() ? "counts_lost" : reason, now);
+    } else if (othersIdle && isProven(rollout)
+               && fitsUntilDeadline(rollout, isLate ? SwitchRateMargin : DoneRateMargin, 1, now)) {
+        rollout.state = RolloutState::Done;
+        recordProgress(rollout, "others_idle", now);
+    } else if (isLate) {
+        rollout.state = RolloutState::RolledBack;
+        recordProgress(rollout, "not_done_in_time", now);
+    } else if (rollout.phase == RolloutPhase::Trial && isSwitchDue(rollout, others, now)) {
+        rollout.phase = RolloutPhase::Switch;
+        recordProgress(rollout, "proven", now);
     }
 }
 
+/**
+ * Returns whether the new version is to get all requests now: it is proven, the bound allows it, and just as much time
+ * is left as the requests at the other versions need to end.
+ */
+bool RolloutController::isSwitchDue(const Rollout &rollout, const OthersLoad &others, state::Time now) const
+{
+    const state::Duration least = OutcomeReserve + IdleBeforeDone + others.usualTime;
+    const state::Duration most = least + SwitchReserve + state::scaled(others.usualTime, SwitchUsualTimes - 1);
+    const double secondsLeft = toSecondsLeft(rollout.order, rollout.began, now);
+    return secondsLeft >= state::toSeconds(least) && secondsLeft <= state::toSeconds(most) && isProven(rollout)
+        && fitsUntilDeadline(rollout, SwitchRateMargin, UsedBound, now);
+}
+
+/** Returns whether another process has announced the order, and its counts did not arrive. */
+bool RolloutController::isUninformed(const Rollout &rollout, state::Time now)
+{
+    return rollout.uninformedSince && now - *rollout.uninformedSince >= CountsArrive;
+}
+
+/** Returns why the new version must not go on; empty if it may. */
+std::string_view RolloutController::rollbackReason(const Rollout &rollout)
+{
+    if (const auto fault = rollout.evidence.fault()) {
+        return *fault == VersionFault::Failures ? "failures" : "slowness";
+    }
+    const bool isLate = rollout.phase == RolloutPhase::Trial && rollout.elapsed >= ProofTime;
+    return isLate && rollout.evidence.sum().target.good < ProofResponses ? "not_proven_in_time" : "";
+}
+
+/** Returns whether the new version has answered enough requests well. */
+bool RolloutController::isProven(const Rollout &rollout)
+{
+    const VersionCounts target = rollout.evidence.sum().target;
+    return rollout.isInformed && !rollout.evidence.isDoubtful()
+        && target.good >= std::max(ProofResponses, ProofShare * target.dispatched);
+}
+
+/**
+ * Returns whether the new version could get all requests from now to the deadline within the fraction @p used of the
+ * bound, at @p rateMargin times the present rate. Then it does not matter when it turns bad.
+ */
+bool RolloutController::fitsUntilDeadline(const Rollout &rollout, double rateMargin, double used, state::Time now) const
+{
+    const RouteCounts counts = rollout.evidence.sum();
+    const double sent = counts.target.dispatched + counts.others.dispatched;
+    const double age = std::max(0.001, state::toSeconds(now - rollout.began));
+    const double rate = std::max(rollout.evidence.requestRate(), sent / age) * rateMargin;
+    const double toCome = rate * std::max(0.0, toSecondsLeft(rollout.order, rollout.began, now));
+    const double bound = used * (m_bounds.rolloutShare * (sent + toCome) + m_bounds.rolloutSlack);
+    return counts.target.dispatched + toCome <= bound;
+}
+
+void RolloutController::recordProgress(const Rollout &rollout, std::string_view reason, state::Time now)
+{
+    const RouteCounts counts = rollout.evidence.sum();
+    m_progress.push_back({ rollout.order.service,
+                           rollout.order.targetVersion,
+                           rollout.phase,
+                           state::toSeconds(now - rollout.began),
+                           allowance(rollout, counts),
+                           counts,
+                           reason,
+                           rollout.evidence.faultyRoute() });
+}
+
 std::vector<state::entry::RolloutStatus> RolloutController::states() const
 {
     std::vector<state::entry::RolloutStatus> states;
@@ -295,21 +353,27 @@
     return states;
 }
 
-std::vector<VersionShare> RolloutController::shares() const
+bool RolloutController::anyOverdue(state::Time now) const
 {
-    std::vector<VersionShare> shares;
-    for (const auto &[service, rollout] : m_rollouts) {
-        if (rollout.state != RolloutState::Running) {
+    return std::any_of(m_rollouts.begin(), m_rollouts.end(), [now](const auto &item) {
+        const Rollout &rollout = item.second;
+        return rollout.state == RolloutState::Running && toSecondsLeft(rollout.order, rollout.began, now) < 0;
+    });
+}
+
+void RolloutController::fillReport(PeerReport &report, state::Time now) const
+{
+    for (const auto &[name, rollout] : m_rollouts) {
+        if (rollout.state != RolloutState::Running || !rollout.isInformed) {
             continue;
         }
-        const std::uint32_t serviceHash = shortHash(service);
-        for (const auto &[route, counts] : rollout.routes) {
-            const std::uint32_t routeHash = shortHash(route);
-            shares.push_back(shareOf(serviceHash, shortHash(rollout.order.targetVersion), routeHash, counts.target));
-            shares.push_back(shareOf(serviceHash, 0, routeHash, counts.others));
-        }
+        const std::uint32_t service = shortHash(name);
+        const std::uint32_t version = shortHash(rollout.order.targetVersion);
+        const auto ageMs = std::max(0.0, state::toMilliseconds(now - rollout.began));
+        report.rollouts.push_back({ service, version, static_cast<std::uint32_t>(ageMs) });
+        const auto shares = rollout.evidence.shares(service, version);
+        report.versions.insert(report.versions.end(), shares.begin(), shares.end());
     }
-    return shares;
 }
 
 RolloutController::Rollout *RolloutController::running(std::string_view service)
--- a/src/coordination/entry/rolloutcontroller.h
+++ b/src/coordination/entry/rolloutcontroller.h
@@ -1,15 +1,16 @@
 #pragma once
 
-#include "coordination/entry/peerreport.h"
+#include "coordination/entry/peertable.h"
+#include "coordination/entry/rolloutevidence.h"
 #include "state/entry/bounds.h"
 #include "state/entry/targetentry.h"
 #include "state/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
-#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -17,13 +18,17 @@
 
 namespace sapphirecove::coordination::entry {
 
-/** Counts of one software version on one route, over some hosts. */
-struct VersionCounts
+/** Load of a service at the versions that a rollout replaces. */
+struct OthersLoad
 {
-    double dispatched = 0;
-    double good = 0;
-    double bad = 0;
-    double latencyRatioSum = 0; /**< over the good responses: time divided by the route's usual time */
+    std::uint32_t running = 0; /**< requests */
+    state::Duration usualTime{}; /**< of a request on the service's slowest route */
+};
+
+/** Stage of a running order. */
+enum class RolloutPhase {
+    Trial, /**< the new version gets a few requests */
+    Switch, /**< it gets all requests while those at the other versions end */
 };
 
 /** What is known of a running order, for the log. */
@@ -31,28 +36,34 @@
 {
     std::string service;
     std::string targetVersion;
-    double share = 0; /**< of the requests that may go to the new version */
-    double ageSeconds = 0; /**< since the order was read */
-    double sentToTarget = 0; /**< requests that the fleet has sent to the new version since then */
-    double sentToAll = 0;
-    VersionCounts target; /**< responses on all routes */
-    VersionCounts others;
-    std::string_view reason; /**< why the order has ended; empty while it runs */
+    RolloutPhase phase = RolloutPhase::Trial;
+    double ageSeconds = 0; /**< since the fleet has read the order */
+    double allowance = 0; /**< requests that the new version may get until now */
+    RouteCounts counts; /**< on all routes */
+    std::string_view reason; /**< why the order has ended, or its phase has changed */
+    std::string route; /**< on which a fault shows; empty for all together */
 };
 
 /**
  * Rolls services out to new software versions, or back.
  *
- * A new version first gets a small share of the requests. Once its responses on every route on which it was tried are
- * as good and as fast as those of the other versions, its share grows in steps, each of which requires new responses.
- * The order is done when no request runs at the other versions any more. It is rolled back as soon as one route shows
- * failures or slowness, or when its time is nearly over. The host that decides for the fleet evaluates the order, from
- * its own counts and the hosts' reports, and publishes the outcome.
+ * A version may turn bad at any moment, even after the order is done. So it never gets more requests than a bad one may
+ * get in the order's time. Until shortly before the deadline it gets just enough of them to show what it is worth. When
+ * so little time is left that it could have all requests until the deadline within the bound, it gets them all, and the
+ * order is done once no request runs at the other versions any more. An order that does not get there is rolled back.
+ *
+ * The host that decides for the fleet evaluates the order, from its own counts and the hosts' reports, and publishes
+ * the outcome. The new version gets nothing from a host that cannot know what the fleet has sent to it: that knowledge
+ * begins with the process that announces the order in the store, and passes on in reports.
  */
 class RolloutController
 {
 public:
-    explicit RolloutController(const state::entry::Bounds &bounds);
+    /** Returns the load of a service at other versions than the one given. */
+    using OthersLoadOf = std::function<OthersLoad(std::string_view service, std::string_view version)>;
+
+    /** @p self is the processHash() of this process. */
+    explicit RolloutController(const state::entry::Bounds &bounds, std::uint32_t self = 0);
 
     /**
      * Starts a rollout; the same order again changes nothing. If @p mayBeOld, as the store came back from an older
@@ -60,11 +71,29 @@
      */
     void ordered(const state::entry::RolloutOrder &order, state::Time now, bool mayBeOld = false);
 
-    /** Applies a published outcome, which is final. */
-    void published(const state::entry::RolloutStatus &status);
+    /** Applies a published state. An outcome is final; a running order was announced by this or another process. */
+    void published(const state::entry::RolloutStatus &status, state::Time now);
+
+    /**
+     * Records that this process has announced the running order, which the store did not have before; @p stored is
+     * false if it is not known whether the store has it now.
+     */
+    void announced(const state::entry::RolloutStatus &status, bool stored = true);
+
+    /** Records that the store may have lost the announcements. */
+    void storeAgain();
+
+    /** Returns whether the store is known to have the announcement of the running order. */
+    bool isAnnounced(std::string_view service) const;
+
+    /**
+     * Returns whether a request of @p service may go to @p version now; @p deciders is how many hosts currently decide,
+     * each for itself.
+     */
+    bool mayUse(std::string_view service, std::string_view version, std::size_t deciders) const;
 
-    /** Returns whether a request of @p service may go to @p version now. */
-    bool mayUse(std::string_view service, std::string_view version, std::size_t hosts) const;
+    /** Returns whether requests of @p service should go to @p version if they may, as it is on trial. */
+    bool prefers(std::string_view service, std::string_view version) const;
 
     /** Counts a request that was sent to @p version. */
     void dispatched(std::string_view service, std::string_view version, std::string_view route);
@@ -73,24 +102,16 @@
     void answered(
         std::string_view service, std::string_view version, std::string_view route, bool good, double latencyRatio);
 
-    /**
-     * Evaluates the running orders with the counts of @p peers; @p othersRunning returns how many requests of a service
-     * run at other versions than the one given. Returns the states that have changed.
-     */
-    template <typename OthersRunning>
-    std::vector<state::entry::RolloutStatus>
-    evaluate(std::span<const PeerReport *const> peers, OthersRunning othersRunning, state::Time now)
-    {
-        std::vector<state::entry::RolloutStatus> changes;
-        for (auto &[service, rollout] : m_rollouts) {
-            if (rollout.state == state::entry::RolloutState::Running) {
-                evaluateRollout(rollout, peers, othersRunning(service, rollout.order.targetVersion), now, changes);
-            }
-        }
-        return changes;
-    }
+    /** Counts a request that ended without a response after @p latencyRatio times the route's usual time. */
+    void abandoned(std::string_view service, std::string_view version, std::string_view route, double latencyRatio);
+
+    /** Takes over the counts of @p peers, also of those that have stopped reporting. */
+    void learn(const std::map<std::string, Peer, std::less<>> &peers, state::Time now);
 
-    /** Returns the orders whose share has changed, or that have ended, since the last call. */
+    /** Evaluates the running orders, if this host decides for the fleet; returns those that have ended. */
+    std::vector<state::entry::RolloutStatus> evaluate(const OthersLoadOf &othersLoad, state::Time now);
+
+    /** Returns the orders whose phase has changed, or that have ended, since the last call. */
     std::vector<RolloutProgress> takeProgress()
     {
         return std::exchange(m_progress, {});
@@ -99,39 +120,41 @@
     /** Returns the states of all known orders. */
     std::vector<state::entry::RolloutStatus> states() const;
 
-    /** Returns this host's counts of running orders, for the report to the peers. */
-    std::vector<VersionShare> shares() const;
+    /** Returns whether an order runs whose time is over: its outcome is published, or will be. */
+    bool anyOverdue(state::Time now) const;
 
-private:
-    struct RouteCounts
-    {
-        VersionCounts target;
-        VersionCounts others;
-    };
+    /** Adds what is known of the running orders to the report to the peers. */
+    void fillReport(PeerReport &report, state::Time now) const;
 
+private:
     struct Rollout
     {
         state::entry::RolloutOrder order;
         state::entry::RolloutState state = state::entry::RolloutState::Running;
+        RolloutPhase phase = RolloutPhase::Trial;
         state::Time began{};
         std::set<std::string> superseded; /**< target versions of earlier orders */
-        double share = 0; /**< of the requests that may go to the new version */
-        double goodAtStep = 0; /**< good responses when the share last grew */
+        bool isAnnounced = false; /**< in the store */
+        bool isInformed = false; /**< this process knows what the fleet has sent to the new version */
+        std::optional<state::Time> uninformedSince; /**< when it learned that another process announced the order */
+        double elapsed = 0; /**< share of the order's time at the last evaluation */
         std::optional<state::Time> othersIdleSince;
-        std::map<std::string, RouteCounts, std::less<>> routes; /**< of this host */
+        RolloutEvidence evidence;
     };
 
-    void evaluateRollout(Rollout &rollout,
-                         std::span<const PeerReport *const> peers,
-                         std::uint32_t othersRunning,
-                         state::Time now,
-                         std::vector<state::entry::RolloutStatus> &changes);
-    static std::vector<RouteCounts> countsOfFleet(const Rollout &rollout, std::span<const PeerReport *const> peers);
-    static bool regressed(const RouteCounts &counts);
-    static void growShare(Rollout &rollout, const std::vector<RouteCounts> &counts, double elapsed);
+    void judge(Rollout &rollout, const OthersLoad &others, state::Time now);
+    bool isSwitchDue(const Rollout &rollout, const OthersLoad &others, state::Time now) const;
+    static bool isUninformed(const Rollout &rollout, state::Time now);
+    static std::string_view rollbackReason(const Rollout &rollout);
+    static bool isProven(const Rollout &rollout);
+    bool fitsUntilDeadline(const Rollout &rollout, double rateMargin, double used, state::Time now) const;
+    double allowance(const Rollout &rollout, const RouteCounts &counts) const;
+    void recordProgress(const Rollout &rollout, std::string_view reason, state::Time now);
+    VersionCounts *countsOf(std::string_view service, std::string_view version, std::string_view route);
     Rollout *running(std::string_view service);
 
     state::entry::Bounds m_bounds;
+    std::uint32_t m_self;
     std::map<std::string, Rollout, std::less<>> m_rollouts;
     std::vector<RolloutProgress> m_progress; /**< not taken yet */
 };
--- a/src/coordination/entry/routestatistics.cpp
+++ b/src/coordination/entry/routestatistics.cpp
@@ -1,5 +1,7 @@
 #include "coordination/entry/routestatistics.h"
 
+#include <algorithm>
+
 namespace sapphirecove::coordination::entry {
 
 namespace {
@@ -64,6 +66,15 @@
     return slotMs;
 }
 
+double RouteStatistics::longestSlotMs(std::string_view service) const
+{
+    double longest = 0;
+    for (const auto &[name, averages] : m_routes) {
+        longest = averages.service == service ? std::max(longest, averages.slotMs.value()) : longest;
+    }
+    return longest;
+}
+
 RouteAverages &RouteStatistics::of(std::string_view route, bool model)
 {
     const auto found = m_routes.find(route);
--- a/src/coordination/entry/routestatistics.h
+++ b/src/coordination/entry/routestatistics.h
@@ -36,6 +36,9 @@
     /** Returns the slot time in milliseconds per second that requests of @p service with more than @p rank take. */
     double slotMsAbove(std::string_view service, double rank, state::Time now);
 
+    /** Returns the usual slot time in milliseconds on the slowest route of @p service; zero if it has none. */
+    double longestSlotMs(std::string_view service) const;
+
     /** Returns the averages of @p route, initialized with priors if it is new. */
     RouteAverages &of(std::string_view route, bool model);
 
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -3,6 +3,7 @@
 #include "coordination/entry/shorthash.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace sapphirecove::coordination::entry {
@@ -54,6 +55,21 @@
 /** Time within which discovery tells that a target has restarted; more than the delay of its list and of the store. */
 constexpr state::Duration RestartKnown = std::chrono::seconds(6);
 
+/**
+ * Time within which interrupted requests of one target count once for its software: a target that stops interrupts all
+ * of its requests.
+ */
+constexpr state::Duration InterruptionWindow = std::chrono::seconds(1);
+
+/** Times below this count as equal: distance to the target and its place in a batch matter more than its software. */
+constexpr double FastEnoughMs = 50;
+
+/**
+ * Multiple of a route's usual time from which a request that was abandoned says that its target is slow. A caller may
+ * leave sooner for any reason.
+ */
+constexpr double AbandonedSlowRatio = 1.8;
+
 /** Most broken attempts whose targets are watched for a restart. */
 constexpr std::size_t MaxBrokenAttempts = 256;
 
@@ -91,7 +107,7 @@
     , m_retryBudget(bounds)
     , m_statements(self)
     , m_suspects(self)
-    , m_rollouts(bounds)
+    , m_rollouts(bounds, self)
     , m_location(std::move(location))
     , m_targetChoice(std::make_unique<ExpectedTimeChoice>(m_location.regionOfDomain))
 {
@@ -252,6 +268,13 @@
             (m_statements.isBackingOff(target->hash(), now) ? backingOff : fitting).push_back(target);
         }
     }
+    // A version on trial gets its requests although the others may be faster, as nothing else shows what it is worth.
+    const auto isOnTrial = [&](const TargetLoad *target) {
+        return m_rollouts.prefers(request.service, target->entry().softwareVersion);
+    };
+    if (std::any_of(fitting.begin(), fitting.end(), isOnTrial)) {
+        std::erase_if(fitting, std::not_fn(isOnTrial));
+    }
     return fitting.empty() ? backingOff : fitting;
 }
 
@@ -369,6 +392,7 @@
     attempt.targetHash = target.hash();
     attempt.build = target.build();
     attempt.parts = request.parts;
+    attempt.isRepeat = !request.excludedTargets.empty();
     attempt.route = request.route;
     attempt.work = request.work;
     attempt.expectedOutputTokens = request.expectedOutputTokens;
@@ -425,9 +449,8 @@
             m_targets.misdirected(target->entry().id);
         }
     }
+    countForRollout(attempt, target, outcome, now);
     RouteAverages &averages = m_routes.of(attempt.route, attempt.work.model);
-    countForRollout(
-        attempt, target, outcome, state::toMilliseconds(now - attempt.dispatched) / averages.slotMs.value());
     if (outcome != AttemptOutcome::Served) {
         return;
     }
@@ -491,34 +514,61 @@
 void Scheduler::countForRollout(const Attempt &attempt,
                                 const TargetLoad *target,
                                 AttemptOutcome outcome,
-                                double latencyRatio)
+                                state::Time now)
 {
-    const bool inconclusive = outcome == AttemptOutcome::Abandoned || outcome == AttemptOutcome::NotExecuted
-        || outcome == AttemptOutcome::Misdirected || outcome == AttemptOutcome::Unreachable;
-    if (target == nullptr || inconclusive) {
+    if (target == nullptr || !tellsOfVersion(attempt, outcome, now)) {
         return;
     }
     const auto &entry = target->entry();
-    const bool good = outcome == AttemptOutcome::Served;
-    m_rollouts.answered(entry.service, entry.softwareVersion, attempt.route, good, latencyRatio);
+    const double usualMs = std::max(FastEnoughMs, m_routes.of(attempt.route, attempt.work.model).slotMs.value());
+    const double latencyRatio = std::max(FastEnoughMs, state::toMilliseconds(now - attempt.dispatched)) / usualMs;
+    if (outcome != AttemptOutcome::Abandoned) {
+        const bool good = outcome == AttemptOutcome::Served;
+        m_rollouts.answered(entry.service, entry.softwareVersion, attempt.route, good, latencyRatio);
+    } else if (latencyRatio >= AbandonedSlowRatio) {
+        m_rollouts.abandoned(entry.service, entry.softwareVersion, attempt.route, latencyRatio);
+    }
+}
+
+/**
+ * Returns whether @p outcome is due to the software of the target, as far as this can be told. A request that has
+ * failed before is likely to fail at any target, and a target that stops interrupts requests that have no part in it.
+ */
+bool Scheduler::tellsOfVersion(const Attempt &attempt, AttemptOutcome outcome, state::Time now)
+{
+    const bool wasRun = outcome != AttemptOutcome::NotExecuted && outcome != AttemptOutcome::Misdirected
+        && outcome != AttemptOutcome::Unreachable;
+    const bool hasFailedBefore =
+        attempt.isRepeat || (!attempt.parts.empty() && m_failedRequests.contains(attempt.parts.front(), now));
+    const bool failed = wasRun && outcome != AttemptOutcome::Served && outcome != AttemptOutcome::Abandoned;
+    if (failed && !attempt.parts.empty()) {
+        m_failedRequests.add(attempt.parts.front(), now);
+    }
+    const bool interrupted = outcome == AttemptOutcome::Broken || outcome == AttemptOutcome::Crashed;
+    if (!wasRun || hasFailedBefore || !interrupted) {
+        return wasRun && !hasFailedBefore;
+    }
+    std::erase_if(m_interruptions, [now](const auto &item) {
+        return now - item.second > InterruptionWindow;
+    });
+    return m_interruptions.try_emplace(attempt.targetHash, now).second;
 }
 
-std::vector<state::entry::RolloutStatus> Scheduler::evaluateRollouts(state::Time now)
+std::vector<state::entry::RolloutStatus> Scheduler::evaluateRollouts(bool decides, state::Time now)
 {
-    std::vector<const PeerReport *> reports;
-    for (const auto &[host, peer] : m_peers.peers()) {
-        if (peer.live) {
-            reports.push_back(&peer.report);
-        }
+    m_rollouts.learn(m_peers.peers(), now);
+    if (!decides) {
+        return {};
     }
-    const auto othersRunning = [this](std::string_view service, std::string_view version) {
-        std::uint32_t running = 0;
+    const auto othersLoad = [this](std::string_view service, std::string_view version) {
+        OthersLoad load;
+        load.usualTime = state::durationFromMilliseconds(m_routes.longestSlotMs(service));
         for (const TargetLoad *target : m_targets.ofService(service)) {
-            running += target->entry().softwareVersion == version ? 0 : target->running();
+            load.running += target->entry().softwareVersion == version ? 0 : target->running();
         }
-        return running;
+        return load;
     };
-    return m_rollouts.evaluate(reports, othersRunning, now);
+    return m_rollouts.evaluate(othersLoad, now);
 }
 
 void Scheduler::targetsChanged()
@@ -539,7 +589,7 @@
 void Scheduler::fillReport(PeerReport &report, state::Time now)
 {
     report.quotas = m_quotas.shares(now);
-    report.versions = m_rollouts.shares();
+    m_rollouts.fillReport(report, now);
     report.statementsDigest = m_statements.digest();
     report.sent = m_statements.sentShares(now);
     report.backOffs = m_statements.backOffShares(now);
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -4,6 +4,7 @@
 #include "coordination/entry/fleetretrybudget.h"
 #include "coordination/entry/peertable.h"
 #include "coordination/entry/quotatable.h"
+#include "coordination/entry/recentfailures.h"
 #include "coordination/entry/rolloutcontroller.h"
 #include "coordination/entry/routestatistics.h"
 #include "coordination/entry/scheduledrequest.h"
@@ -82,8 +83,11 @@
         m_deciders = deciders;
     }
 
-    /** Evaluates the running rollouts; returns those that have ended. */
-    std::vector<state::entry::RolloutStatus> evaluateRollouts(state::Time now);
+    /**
+     * Takes over the peers' counts of the running rollouts and, if @p decides for the fleet, evaluates them; returns
+     * those that have ended.
+     */
+    std::vector<state::entry::RolloutStatus> evaluateRollouts(bool decides, state::Time now);
 
     /** Queues @p request, or returns a refusal. */
     std::optional<Decision> enqueue(const ScheduledRequest &request, state::Time now);
@@ -138,6 +142,7 @@
         std::uint32_t targetHash = 0;
         std::uint32_t build = 0; /**< of the target, see buildHash() */
         std::vector<std::uint64_t> parts; /**< see ScheduledRequest::parts */
+        bool isRepeat = false; /**< an attempt of the same request was made before */
         bool acquitted = false; /**< the answer shows that the parts do not crash the target */
         std::string route;
         Work work;
@@ -169,7 +174,8 @@
     double slotsLeft(const WaitingRequest &request, state::Time now) const;
     Decision dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now);
     state::Duration expectedWait(const WaitingRequest &request, state::Time now);
-    void countForRollout(const Attempt &attempt, const TargetLoad *target, AttemptOutcome outcome, double latencyRatio);
+    void countForRollout(const Attempt &attempt, const TargetLoad *target, AttemptOutcome outcome, state::Time now);
+    bool tellsOfVersion(const Attempt &attempt, AttemptOutcome outcome, state::Time now);
     bool isBlocked(std::span<const std::uint64_t> parts, std::string_view service, state::Time now) const;
     bool mustWaitForSameRequest(const WaitingRequest &request, state::Time now) const;
     bool mayHold(const TargetLoad &target, const WaitingRequest &request, state::Time now) const;
@@ -188,6 +194,8 @@
     std::uint64_t m_blockingsApplied = 0; /**< CrashSuspects::blockings() when waiting requests were last checked */
     std::uint64_t m_backOffsApplied = 0; /**< backOffsHeard() when waiting requests were last checked */
     RolloutController m_rollouts;
+    RecentFailures m_failedRequests;
+    std::unordered_map<std::uint32_t, state::Time> m_interruptions; /**< latest one of each target, by its hash */
     RouteStatistics m_routes;
     WaitingQueue m_queue;
     Location m_location;
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -15,13 +15,14 @@
 using coordination::entry::PartEvidence;
 using coordination::entry::PeerReport;
 using coordination::entry::QuotaShare;
+using coordination::entry::RolloutShare;
 using coordination::entry::SentShare;
 using coordination::entry::StatementShare;
 using coordination::entry::TargetShare;
 using coordination::entry::VersionShare;
 
 /** First four bytes of each report; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53435206;
+constexpr std::uint32_t Magic = 0x53435207;
 
 // Each visit function lists the fields of one struct in wire order, for both BinaryWriter and BinaryReader.
 
@@ -50,6 +51,15 @@
     visitQuota(codec, share);
 }
 
+template <typename Codec, typename Share>
+requires std::same_as<std::remove_const_t<Share>, RolloutShare>
+void visit(Codec &codec, Share &share)
+{
+    codec.number(share.service);
+    codec.number(share.version);
+    codec.number(share.ageMs);
+}
+
 template <typename Codec, typename Share>
 requires std::same_as<std::remove_const_t<Share>, VersionShare>
 void visit(Codec &codec, Share &share)
@@ -57,10 +67,13 @@
     codec.number(share.service);
     codec.number(share.version);
     codec.number(share.route);
+    codec.number(share.process);
     codec.number(share.dispatched);
     codec.number(share.good);
     codec.number(share.bad);
-    codec.real(share.latencyRatioSum);
+    codec.number(share.timed);
+    codec.real(share.latencyLogSum);
+    codec.real(share.latencyLogSquareSum);
 }
 
 template <typename Codec, typename Share>
@@ -140,6 +153,7 @@
     writeList(writer, report.targets);
     writeList(writer, report.active);
     writeList(writer, report.quotas);
+    writeList(writer, report.rollouts);
     writeList(writer, report.versions);
     writer.number(report.statementsDigest);
     writeList(writer, report.statements);
@@ -166,6 +180,7 @@
     readList(reader, report.targets);
     readList(reader, report.active);
     readList(reader, report.quotas);
+    readList(reader, report.rollouts);
     readList(reader, report.versions);
     reader.number(report.statementsDigest);
     readList(reader, report.statements);
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -75,10 +75,13 @@
 /** Interval of checks whether state of the decider is due to be stored; bounds what a failure of all hosts loses. */
 constexpr state::Duration DeciderStateCheckInterval = std::chrono::milliseconds(100);
 
-/** Interval at which rollouts are evaluated, and at which hosts that publish no outcomes read the published ones. */
-constexpr state::Duration RolloutCheckInterval = std::chrono::milliseconds(150);
+/** Intervals at which rollouts are evaluated, and at which hosts that publish no outcomes read the published ones. */
+constexpr state::Duration RolloutCheckInterval = std::chrono::milliseconds(50);
 constexpr state::Duration RolloutStatusInterval = std::chrono::milliseconds(1000);
 
+/** Interval at which a host reads the outcome of an order whose time is over. */
+constexpr state::Duration RolloutOutcomeInterval = std::chrono::seconds(5);
+
 /** Delay before a task that ended by an exception runs again. */
 constexpr state::Duration TaskRestartDelay = std::chrono::milliseconds(500);
 
@@ -146,7 +149,8 @@
     asio::co_spawn(m_context.io, supervise("targets", &StoreFollower::followTargets), asio::detached);
     asio::co_spawn(m_context.io, supervise("hosts", &StoreFollower::discoverHosts), asio::detached);
     asio::co_spawn(m_context.io, supervise("decider_state", &StoreFollower::persistDeciderState), asio::detached);
-    asio::co_spawn(m_context.io, supervise("rollouts", &StoreFollower::runRollouts), asio::detached);
+    asio::co_spawn(m_context.io, supervise("rollouts", &StoreFollower::evaluateRollouts), asio::detached);
+    asio::co_spawn(m_context.io, supervise("rollout_status", &StoreFollower::publishRollouts), asio::detached);
 }
 
 /** Runs @p task again whenever it ends by an exception, which would otherwise end it without a trace. */
@@ -520,26 +524,12 @@
     m_blockedPartsRetryAt = m_context.now() + MaxRetryDelay;
 }
 
-/** Evaluates the rollouts, reads published outcomes, and publishes outcomes if this host is the decider. */
-asio::awaitable<void> StoreFollower::runRollouts()
+/** Evaluates the rollouts. Calls to the store, which may take long, must not hold this up. */
+asio::awaitable<void> StoreFollower::evaluateRollouts()
 {
-    state::Time statusRead{};
     for (;;) {
         co_await sleepFor(RolloutCheckInterval);
-        auto &rollouts = m_context.scheduler.rollouts();
-        const auto states = rollouts.states();
-        if (states.empty()) {
-            continue;
-        }
-        if (std::exchange(m_rolloutsUnconfirmed, false)) {
-            m_announcedRollouts.clear();
-            for (const auto &status : states) {
-                if (status.state != state::entry::RolloutState::Running) {
-                    m_unpublishedRollouts[status.service] = status.state;
-                }
-            }
-        }
-        for (const auto &status : m_context.scheduler.evaluateRollouts(m_context.now())) {
+        for (const auto &status : m_context.scheduler.evaluateRollouts(isDecider(), m_context.now())) {
             logEvent("rollout_judged",
                      { { "service", status.service },
                        { "version", status.targetVersion },
@@ -547,49 +537,79 @@
             m_unpublishedRollouts[status.service] = status.state;
         }
         logRolloutProgress();
-        const bool publishes = isDecider();
-        for (const auto &status : rollouts.states()) {
-            const bool running = status.state == state::entry::RolloutState::Running;
-            const bool statusChanged = running ? m_announcedRollouts[status.service] != status.targetVersion
-                                               : m_unpublishedRollouts.contains(status.service);
-            if (publishes && statusChanged && co_await publishRolloutStatus(status)) {
-                m_announcedRollouts[status.service] = status.targetVersion;
-                m_unpublishedRollouts.erase(status.service);
-            }
-        }
-        const bool anyRunning = std::any_of(states.begin(), states.end(), [](const auto &status) {
-            return status.state == state::entry::RolloutState::Running;
-        });
-        if (!publishes && anyRunning && m_context.fleet.directory().isCandidate(m_context.now())
-            && m_context.now() - statusRead >= RolloutStatusInterval) {
-            statusRead = m_context.now();
-            co_await readRolloutStatus();
-        }
     }
 }
 
-/** Logs the rollouts whose share has changed or that were judged, with the counts that led to it. */
+/** Logs the rollouts whose phase has changed or that were judged, with the counts that led to it. */
 void StoreFollower::logRolloutProgress()
 {
     const auto number = [](double count) {
         return std::to_string(static_cast<std::uint64_t>(count));
     };
     for (const auto &progress : m_context.scheduler.rollouts().takeProgress()) {
+        const auto &[target, others] = progress.counts;
         logEvent("rollout_progress",
                  { { "service", progress.service },
                    { "version", progress.targetVersion },
-                   { "share", std::to_string(progress.share) },
+                   { "phase", progress.phase == coordination::entry::RolloutPhase::Trial ? "trial" : "switch" },
                    { "age_s", std::to_string(progress.ageSeconds) },
-                   { "sent", number(progress.sentToTarget) },
-                   { "sent_all", number(progress.sentToAll) },
-                   { "good", number(progress.target.good) },
-                   { "bad", number(progress.target.bad) },
-                   { "others_good", number(progress.others.good) },
-                   { "others_bad", number(progress.others.bad) },
+                   { "allowance", number(progress.allowance) },
+                   { "sent", number(target.dispatched) },
+                   { "sent_all", number(target.dispatched + others.dispatched) },
+                   { "good", number(target.good) },
+                   { "bad", number(target.bad) },
+                   { "others_good", number(others.good) },
+                   { "others_bad", number(others.bad) },
+                   { "latency", std::to_string(target.meanLatency()) },
+                   { "others_latency", std::to_string(others.meanLatency()) },
+                   { "route", progress.route },
                    { "reason", std::string(progress.reason) } });
     }
 }
 
+/** Publishes the states of rollouts if this host is the decider, and reads those that others have published. */
+asio::awaitable<void> StoreFollower::publishRollouts()
+{
+    state::Time statusRead{};
+    for (;;) {
+        co_await sleepFor(RolloutCheckInterval);
+        auto &rollouts = m_context.scheduler.rollouts();
+        const auto states = rollouts.states();
+        if (std::exchange(m_rolloutsUnconfirmed, false)) {
+            rollouts.storeAgain();
+            for (const auto &status : states) {
+                if (status.state != state::entry::RolloutState::Running) {
+                    m_unpublishedRollouts[status.service] = status.state;
+                }
+            }
+        }
+        bool anyRunning = false;
+        const bool publishes = isDecider();
+        for (const auto &status : states) {
+            const bool running = status.state == state::entry::RolloutState::Running;
+            anyRunning = anyRunning || running;
+            const bool changed =
+                running ? !rollouts.isAnnounced(status.service) : m_unpublishedRollouts.contains(status.service);
+            if (!publishes || !changed) {
+                continue;
+            }
+            const bool published = co_await publishRolloutStatus(status);
+            if (published && !running) {
+                m_unpublishedRollouts.erase(status.service);
+            }
+        }
+        const state::Time now = m_context.now();
+        const bool reads = anyRunning && !publishes && m_context.fleet.directory().isCandidate(now);
+        // Any host may have to decide later, and must not take an order for running that has ended long ago.
+        const bool readsOutcome = rollouts.anyOverdue(now);
+        const state::Duration interval = reads ? RolloutStatusInterval : RolloutOutcomeInterval;
+        if ((reads || readsOutcome) && now - statusRead >= interval) {
+            statusRead = now;
+            co_await readRolloutStatus();
+        }
+    }
+}
+
 /** Applies the published outcomes; returns the end of their topic, or nothing if it could not be read. */
 asio::awaitable<std::optional<StoreFollower::TopicEnd>> StoreFollower::readRolloutStatus()
 {
@@ -607,7 +627,7 @@
             record,
             [&]() -> state::Result<void> {
                 BOOST_LEAF_AUTO(status, m_context.codec.decodeRolloutStatus(*service, *record.value));
-                m_context.scheduler.rollouts().published(status);
+                m_context.scheduler.rollouts().published(status, m_context.now());
                 return {};
             },
             [](const state::Failure &failure) {
@@ -632,8 +652,9 @@
         return current.service == status.service && current.targetVersion == status.targetVersion
             && current.state == status.state;
     });
-    if (!stillCurrent) {
-        co_return true; // Another host has published an outcome meanwhile.
+    const bool isRunning = status.state == state::entry::RolloutState::Running;
+    if (!stillCurrent || (isRunning && m_context.scheduler.rollouts().isAnnounced(status.service))) {
+        co_return true; // Another host has published an outcome, or the order, meanwhile.
     }
     const StoreAppendResult stored = co_await m_store.append(StoreTopic::RolloutStatus,
                                                              m_context.codec.rolloutKey(status.service),
@@ -642,10 +663,13 @@
                                                              CallTimeout);
     // In another era, the same offset may follow other records.
     const bool published = stored.outcome == StoreAppendResult::Outcome::Stored && stored.era == end->era;
+    if (isRunning && (published || stored.outcome == StoreAppendResult::Outcome::Unknown)) {
+        m_context.scheduler.rollouts().announced(status, published);
+    }
     logEvent("rollout_published",
              { { "service", status.service },
                { "version", status.targetVersion },
-               { "running", status.state == state::entry::RolloutState::Running ? "yes" : "no" },
+               { "running", isRunning ? "yes" : "no" },
                { "done", status.state == state::entry::RolloutState::Done ? "yes" : "no" },
                { "stored", published ? "yes" : "no" } });
     co_return published;
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -80,7 +80,8 @@
     boost::asio::awaitable<void> persistDeciderState();
     boost::asio::awaitable<void> persistQuotaUse();
     boost::asio::awaitable<void> persistBlockedParts();
-    boost::asio::awaitable<void> runRollouts();
+    boost::asio::awaitable<void> evaluateRollouts();
+    boost::asio::awaitable<void> publishRollouts();
     void logRolloutProgress();
     boost::asio::awaitable<std::optional<TopicEnd>> readRolloutStatus();
     boost::asio::awaitable<bool> publishRolloutStatus(state::entry::RolloutStatus status);
@@ -113,7 +114,6 @@
     bool m_storeOutdated = false; /**< the store's newest configuration is older than one that a host has */
     bool m_stateRestored = false; /**< the state from before the start of this host was read */
     std::map<std::string, state::entry::RolloutState> m_unpublishedRollouts; /**< outcomes by service */
-    std::map<std::string, std::string> m_announcedRollouts; /**< by service, target version announced as running */
     bool m_rolloutsUnconfirmed = false; /**< the store may have lost the published states of rollouts */
     TopicState m_operatorTopic;
     TopicState m_targetsTopic;
--- a/tests/coordination/entry/requests.h
+++ b/tests/coordination/entry/requests.h
@@ -45,11 +45,11 @@
     return request;
 }
 
-inline std::unique_ptr<Scheduler> makeScheduler(const state::entry::Bounds &bounds = {})
+inline std::unique_ptr<Scheduler> makeScheduler(const state::entry::Bounds &bounds = {}, std::uint32_t self = 0)
 {
     return state::handleFailure(
         [&] {
-            return Scheduler::create(bounds, { "osu", "accra", { { "osu", "accra" }, { "adum", "kumasi" } } });
+            return Scheduler::create(bounds, { "osu", "accra", { { "osu", "accra" }, { "adum", "kumasi" } } }, self);
         },
         [](const state::Failure &failure) -> std::unique_ptr<Scheduler> {
             throw std::runtime_error(describe(failure));
--- a/tests/coordination/entry/rolloutsimulation.cpp
+++ b/tests/coordination/entry/rolloutsimulation.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr state::Duration Step = std::chrono::milliseconds(10);
-constexpr state::Duration EvaluationInterval = std::chrono::milliseconds(150);
+constexpr state::Duration EvaluationInterval = std::chrono::milliseconds(50);
 constexpr state::Duration ReportInterval = std::chrono::milliseconds(300);
 constexpr double UsualMs = 30;
 constexpr int TargetsOfEachVersion = 3;
@@ -34,8 +34,9 @@
         : m_scenario(scenario)
         , m_random(scenario.seed)
     {
+        std::uint32_t processes = 0;
         for (const char *host : { "first", "second" }) {
-            Decider &decider = m_deciders.emplace_back(Decider{ host, makeScheduler(), {}, 0 });
+            Decider &decider = m_deciders.emplace_back(Decider{ host, makeScheduler({}, ++processes), {}, 0 });
             for (int i = 0; i < TargetsOfEachVersion; ++i) {
                 for (const char *version : { "v1", "v2" }) {
                     state::entry::TargetEntry entry = makeTarget(std::string(version) + '-' + std::to_string(i), 6);
@@ -46,6 +47,9 @@
             }
             decider.scheduler->rollouts().ordered({ "orders", "v2", scenario.orderSeconds }, Start);
         }
+        const state::entry::RolloutStatus running{ "orders", "v2", state::entry::RolloutState::Running };
+        m_deciders[0].scheduler->rollouts().announced(running);
+        m_deciders[1].scheduler->rollouts().published(running, Start);
     }
 
     RolloutOutcome run()
@@ -107,9 +111,7 @@
         report.sequence = ++sender.reports;
         sender.scheduler->fillReport(report, now);
         receiver.peers().receive(std::move(report), receiver.targets(), now);
-        for (const auto &change : receiver.evaluateRollouts(now)) {
-            record(change, now);
-        }
+        receiver.evaluateRollouts(false, now);
     }
 
     void arrive(state::Time now)
@@ -186,9 +188,14 @@
 
     void evaluate(state::Time now)
     {
-        for (const auto &change : active().scheduler->evaluateRollouts(now)) {
+        for (const auto &change : active().scheduler->evaluateRollouts(true, now)) {
             record(change, now);
         }
+        for (const auto &progress : active().scheduler->rollouts().takeProgress()) {
+            m_outcome.reason = std::string(progress.reason) + ' ' + progress.route + " good "
+                + std::to_string(static_cast<int>(progress.counts.target.good)) + " of "
+                + std::to_string(static_cast<int>(progress.counts.target.dispatched));
+        }
     }
 
     void record(const state::entry::RolloutStatus &change, state::Time now)
@@ -199,7 +206,7 @@
         m_outcome.state = change.state;
         m_outcome.endedAtSeconds = state::toSeconds(now - Start);
         for (Decider &decider : m_deciders) {
-            decider.scheduler->rollouts().published(change);
+            decider.scheduler->rollouts().published(change, now);
         }
     }
 
--- a/tests/coordination/entry/rolloutsimulation.h
+++ b/tests/coordination/entry/rolloutsimulation.h
@@ -32,6 +32,7 @@
 {
     state::entry::RolloutState state = state::entry::RolloutState::Running;
     double endedAtSeconds = 0; /**< after the order */
+    std::string reason; /**< of the last change of its phase or state */
     double sentToNew = 0; /**< requests that targets of the new version got */
     double sentToAll = 0;
     double failedAtNew = 0;
--- a/tests/coordination/entry/testrolloutcontroller.cpp
+++ b/tests/coordination/entry/testrolloutcontroller.cpp
@@ -22,70 +22,73 @@
     double toTargetAfterBad50 = 0; /**< after the fleet had seen its 50th bad response, and a report interval */
     double all = 0;
     state::Duration ended{};
+    std::string reason; /**< of the last change of its phase or state */
 };
 
+OthersLoad noneRunning(std::string_view, std::string_view)
+{
+    return {};
+}
+
 /** Returns the failure share and the slowness of the new version on a route after @p elapsed. */
 using Fault = std::function<std::pair<double, double>(const std::string &route, state::Duration elapsed)>;
 
-/** Simulates one rollout of 12 s with three hosts that report to each other every 100 ms. */
+/** Simulates one rollout of 12 s with a decider and two hosts that get its reports every 100 ms. */
 Outcome simulateRollout(std::uint64_t seed, const Fault &fault)
 {
-    constexpr int HostCount = 3;
+    constexpr std::uint32_t HostCount = 3;
     const state::entry::Bounds bounds;
-    std::vector<RolloutController> hosts(HostCount, RolloutController(bounds));
-    for (auto &host : hosts) {
-        host.ordered({ "s", "v2", 12 }, Start);
+    std::vector<RolloutController> hosts;
+    for (std::uint32_t process = 1; process <= HostCount; ++process) {
+        hosts.emplace_back(bounds, process).ordered({ "s", "v2", 12 }, Start);
     }
-    std::vector<PeerReport> reports(HostCount);
+    RolloutController &decider = hosts.front();
+    decider.announced({ "s", "v2", RolloutState::Running });
     coordination::Random random(seed);
-    std::uniform_int_distribution<int> anyHost(0, HostCount - 1);
     std::uniform_real_distribution<double> uniform(0, 1);
     Outcome outcome;
     double bad = 0;
     std::optional<state::Time> bad50At;
     for (state::Time now = Start; now < Start + std::chrono::seconds(12); now += milliseconds(10)) {
-        RolloutController &host = hosts[static_cast<std::size_t>(anyHost(random))];
         const std::string route = uniform(random) < 0.7 ? "drafts" : "queries";
-        const bool newAllowed = host.mayUse("s", "v2", HostCount);
-        const bool oldAllowed = host.mayUse("s", "v1", HostCount);
+        const bool newAllowed = decider.mayUse("s", "v2", 1);
+        const bool oldAllowed = decider.mayUse("s", "v1", 1);
+        CHECK((newAllowed || oldAllowed));
+        for (std::uint32_t i = 1; i < HostCount; ++i) {
+            CHECK_FALSE((outcome.state == RolloutState::Running && hosts[i].mayUse("s", "v2", HostCount)));
+        }
         const std::string version = newAllowed && (!oldAllowed || uniform(random) < 0.5) ? "v2" : "v1";
-        if (newAllowed || oldAllowed) {
-            host.dispatched("s", version, route);
-            const auto [failures, slowness] = version == "v2" ? fault(route, now - Start) : std::pair(0.02, 1.0);
-            const bool good = uniform(random) >= failures;
-            host.answered("s", version, route, good, slowness * (0.8 + 0.4 * uniform(random)));
-            outcome.all += 1;
-            outcome.toTarget += version == "v2" ? 1 : 0;
-            bad += version == "v2" && !good ? 1 : 0;
-            if (bad >= 50 && !bad50At) {
-                bad50At = now;
-            }
-            outcome.toTargetAfterBad50 += version == "v2" && bad50At && now > *bad50At + milliseconds(500) ? 1 : 0;
+        decider.dispatched("s", version, route);
+        const auto [failures, slowness] = version == "v2" ? fault(route, now - Start) : std::pair(0.02, 1.0);
+        const bool good = uniform(random) >= failures;
+        decider.answered("s", version, route, good, slowness * (0.8 + 0.4 * uniform(random)));
+        outcome.all += 1;
+        outcome.toTarget += version == "v2" ? 1 : 0;
+        bad += version == "v2" && !good ? 1 : 0;
+        if (bad >= 50 && !bad50At) {
+            bad50At = now;
         }
+        outcome.toTargetAfterBad50 += version == "v2" && bad50At && now > *bad50At + milliseconds(500) ? 1 : 0;
         if ((now - Start) % milliseconds(100) != milliseconds(0)) {
             continue;
         }
-        for (std::size_t i = 0; i < hosts.size(); ++i) {
-            reports[i].versions = hosts[i].shares();
+        Peer peer;
+        decider.fillReport(peer.report, now);
+        peer.lastReportAt = now;
+        const std::map<std::string, Peer, std::less<>> peers{ { "decider", std::move(peer) } };
+        for (std::uint32_t i = 1; i < HostCount; ++i) {
+            hosts[i].learn(peers, now);
         }
-        for (std::size_t i = 0; i < hosts.size(); ++i) {
-            std::vector<const PeerReport *> peers;
-            for (std::size_t j = 0; j < reports.size(); ++j) {
-                if (i != j) {
-                    peers.push_back(&reports[j]);
-                }
-            }
-            const auto idle = [](std::string_view, std::string_view) {
-                return 0U;
-            };
-            for (const auto &change : hosts[i].evaluate(peers, idle, now)) {
-                if (i == 0 && outcome.state == RolloutState::Running) {
-                    outcome.state = change.state;
-                    outcome.ended = now - Start;
-                    for (auto &other : hosts) {
-                        other.published(change);
-                    }
-                }
+        decider.learn({}, now);
+        const auto changes = decider.evaluate(noneRunning, now);
+        for (const auto &progress : decider.takeProgress()) {
+            outcome.reason = std::string(progress.reason) + ' ' + progress.route;
+        }
+        for (const auto &change : changes) {
+            outcome.state = change.state;
+            outcome.ended = now - Start;
+            for (auto &other : hosts) {
+                other.published(change, now);
             }
         }
     }
@@ -102,6 +105,7 @@
         const Outcome outcome = simulateRollout(seed, [](const auto &, auto) {
             return std::pair(0.02, 1.0);
         });
+        INFO(outcome.reason);
         CHECK(outcome.state == RolloutState::Done);
         CHECK(outcome.ended < std::chrono::seconds(12));
     }
@@ -151,10 +155,12 @@
     RolloutController controller{ state::entry::Bounds() };
     controller.ordered({ "s", "v2", 10 }, Start);
     const auto busy = [](std::string_view, std::string_view) {
-        return 1U;
+        return OthersLoad{ 1, {} };
     };
-    CHECK(controller.evaluate({}, busy, Start + std::chrono::seconds(5)).empty());
-    const auto changes = controller.evaluate({}, busy, Start + std::chrono::seconds(7));
+    controller.learn({}, Start + std::chrono::seconds(5));
+    CHECK(controller.evaluate(busy, Start + std::chrono::seconds(5)).empty());
+    controller.learn({}, Start + std::chrono::seconds(7));
+    const auto changes = controller.evaluate(busy, Start + std::chrono::seconds(7));
     REQUIRE(changes.size() == 1);
     CHECK(changes.front().state == RolloutState::RolledBack);
     CHECK_FALSE(controller.mayUse("s", "v2", 1));
@@ -166,9 +172,9 @@
 {
     RolloutController controller{ state::entry::Bounds() };
     controller.ordered({ "s", "v2", 10 }, Start);
-    controller.published({ "s", "v2", RolloutState::Done });
+    controller.published({ "s", "v2", RolloutState::Done }, Start);
     controller.ordered({ "s", "v3", 10 }, Start);
-    controller.published({ "s", "v3", RolloutState::Done });
+    controller.published({ "s", "v3", RolloutState::Done }, Start);
     controller.ordered({ "s", "v2", 10 }, Start, true);
     CHECK(controller.mayUse("s", "v3", 1));
     CHECK_FALSE(controller.mayUse("s", "v2", 1));
@@ -184,9 +190,9 @@
     CHECK(controller.mayUse("s", "v1", 1));
     controller.ordered({ "s", "v2", 10 }, Start);
     CHECK(controller.mayUse("s", "v1", 1));
-    controller.published({ "s", "v3", RolloutState::Done });
+    controller.published({ "s", "v3", RolloutState::Done }, Start);
     CHECK(controller.mayUse("s", "v1", 1));
-    controller.published({ "s", "v2", RolloutState::Done });
+    controller.published({ "s", "v2", RolloutState::Done }, Start);
     CHECK(controller.mayUse("s", "v2", 1));
     CHECK_FALSE(controller.mayUse("s", "v1", 1));
     controller.ordered({ "s", "v2", 10 }, Start);
--- a/tests/coordination/entry/testrolloutexposure.cpp
+++ b/tests/coordination/entry/testrolloutexposure.cpp
@@ -27,6 +27,8 @@
 
 void checkExposure(const RolloutOutcome &outcome)
 {
+    INFO("state " << static_cast<int>(outcome.state) << " after " << outcome.endedAtSeconds << " s, "
+                  << outcome.reason);
     CHECK(outcome.sentToNew <= outcome.allowed(state::entry::Bounds()));
 }
 
@@ -73,14 +75,17 @@
     constexpr std::uint64_t Seeds = 100;
     for (const Load &load : { Load{ 27, 10 }, Load{ 27, 15 }, Load{ 100, 15 } }) {
         std::uint64_t done = 0;
+        std::string reasons;
         for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
             RolloutScenario scenario;
             scenario.seed = seed;
             scenario.requestsPerSecond = load.requestsPerSecond;
             scenario.orderSeconds = load.orderSeconds;
-            done += simulateRollout(scenario).state == RolloutState::Done ? 1 : 0;
+            const RolloutOutcome outcome = simulateRollout(scenario);
+            done += outcome.state == RolloutState::Done ? 1 : 0;
+            reasons += outcome.state == RolloutState::Done ? "" : std::to_string(seed) + ": " + outcome.reason + "; ";
         }
-        INFO(load.requestsPerSecond << " requests/s, " << load.orderSeconds << " s");
+        INFO(load.requestsPerSecond << " requests/s, " << load.orderSeconds << " s, not done: " << reasons);
         CHECK(done >= Seeds - Seeds / 25);
     }
 }
@@ -104,6 +109,62 @@
     }
 }
 
+// Guards against a version that gets its bound anew after all hosts have lost their counts.
+TEST_CASE("a version whose counts are lost gets nothing and is rolled back", "[entry][rollout]")
+{
+    const state::entry::RolloutStatus running{ "s", "v2", RolloutState::Running };
+    const auto noLoad = [](std::string_view, std::string_view) {
+        return OthersLoad{};
+    };
+    RolloutController controller{ state::entry::Bounds() };
+    controller.ordered({ "s", "v2", 60 }, Start);
+    controller.published(running, Start); // Another process has announced it.
+    for (state::Time now = Start; now < Start + std::chrono::seconds(3); now += std::chrono::milliseconds(100)) {
+        controller.learn({}, now);
+        CHECK(controller.evaluate(noLoad, now).empty());
+        CHECK_FALSE(controller.mayUse("s", "v2", 1));
+        CHECK(controller.mayUse("s", "v1", 1));
+    }
+    const auto changes = controller.evaluate(noLoad, Start + std::chrono::seconds(3));
+    REQUIRE(changes.size() == 1);
+    CHECK(changes.front().state == RolloutState::RolledBack);
+}
+
+// Guards against hosts that decide each for itself and give the new version several times its bound together.
+TEST_CASE("a new version gets nothing from hosts that decide alone", "[entry][rollout]")
+{
+    RolloutController controller{ state::entry::Bounds() };
+    controller.ordered({ "s", "v2", 60 }, Start);
+    CHECK_FALSE(controller.mayUse("s", "v2", 1)); // It is not announced.
+    controller.announced({ "s", "v2", RolloutState::Running });
+    controller.learn({}, Start + std::chrono::seconds(20));
+    CHECK(controller.mayUse("s", "v2", 1));
+    CHECK_FALSE(controller.mayUse("s", "v2", 2));
+    CHECK(controller.mayUse("s", "v1", 2));
+}
+
+// Guards against an order that begins anew with each decider: its time counts from when the fleet has read it.
+TEST_CASE("a host that learns of a running order takes over its age", "[entry][rollout]")
+{
+    RolloutController first{ state::entry::Bounds(), 1 };
+    first.ordered({ "s", "v2", 10 }, Start);
+    first.announced({ "s", "v2", RolloutState::Running });
+    const state::Time later = Start + std::chrono::seconds(8);
+    RolloutController second{ state::entry::Bounds(), 2 };
+    second.ordered({ "s", "v2", 10 }, later);
+    Peer peer;
+    first.fillReport(peer.report, later);
+    peer.lastReportAt = later;
+    second.learn({ { "first", peer } }, later);
+    const auto changes = second.evaluate(
+        [](std::string_view, std::string_view) {
+            return OthersLoad{};
+        },
+        later);
+    REQUIRE(changes.size() == 1); // Without responses it is not proven after eight tenths of its time.
+    CHECK(changes.front().state == RolloutState::RolledBack);
+}
+
 // Guards against a decider that takes over and gives a version its bound a second time.
 TEST_CASE("a new decider counts what the one before it has sent to the new version", "[entry][rollout][random]")
 {
--- a/tests/protocol/testpeerreportcodec.cpp
+++ b/tests/protocol/testpeerreportcodec.cpp
@@ -31,7 +31,8 @@
     report.targets.push_back({ 0xffffffff, 0, 0, 0 });
     report.active.push_back({ 8, 1234567890123ULL });
     report.quotas.push_back({ 3, 1e9, 1.5e6F });
-    report.versions.push_back({ 4, 5, 6, 100, 90, 10, 95.5F });
+    report.rollouts.push_back({ 4, 5, 1234 });
+    report.versions.push_back({ 4, 5, 6, 7, 100, 90, 10, 95, 12.5F, 3.25F });
     report.statementsDigest = 99;
     report.statements.push_back({ 7, 2.5F, 3, true, 1200, true, 340 });
     report.backOffs.push_back({ 8, 2500 });
@@ -84,7 +85,12 @@
     CHECK(received->quotas[0].usedInWindow == 1.5e6F);
     REQUIRE(received->versions.size() == 1);
     CHECK(received->versions[0].bad == 10);
-    CHECK(received->versions[0].latencyRatioSum == 95.5F);
+    CHECK(received->versions[0].process == 7);
+    CHECK(received->versions[0].timed == 95);
+    CHECK(received->versions[0].latencyLogSum == 12.5F);
+    CHECK(received->versions[0].latencyLogSquareSum == 3.25F);
+    REQUIRE(received->rollouts.size() == 1);
+    CHECK(received->rollouts[0].ageMs == 1234);
     CHECK(received->statementsDigest == 99);
     REQUIRE(received->statements.size() == 1);
     CHECK(received->statements[0].requestsPerSecond == 2.5F);
