Take a response that ends right after its header for broken off

What callers saw, in a report of other operators: a target stopped in the middle of its response's head and closed, and they got a 200 with an empty body, framed as whole.

Cause: where a 2xx response states neither a length nor chunks and its connection ends right after the header, an empty body and a body that was never sent look the same, and the host took the first for granted and framed the response anew.

Change: such a response counts as broken: the request is repeated if it may be, and gets a 502 otherwise. Responses that have no body by their status or method end with their header as before. A target whose 2xx bodies are really empty has to state the length.

--- a/src/transport/data/targetconnection.h
+++ b/src/transport/data/targetconnection.h
@@ -65,6 +65,12 @@
     /** Returns the Content-Length of the response, if it has one. */
     std::optional<std::uint64_t> contentLength() const;
 
+    /** Returns whether only the end of the connection ends the body. */
+    bool endsWithConnection() const
+    {
+        return m_parser->need_eof();
+    }
+
     /** Returns whether the whole response was read. */
     bool complete() const
     {
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -364,6 +364,12 @@
             co_return;
         }
     }
+    // A connection that ends right after the header looks the same whether the body is empty or was never sent.
+    if (body.empty() && m_parser->need_eof() && m_parser->get().result_int() / 100 == 2) {
+        result.outcome = AttemptOutcome::Broken;
+        result.detail = "response ended before its body, which has no stated length";
+        co_return;
+    }
     Response response;
     static_cast<http::response_header<> &>(response) = m_parser->get();
     response.body() = std::move(body);
--- a/tests/transport/data/testtargetexchange.cpp
+++ b/tests/transport/data/testtargetexchange.cpp
@@ -160,6 +160,10 @@
         { "", "outcome_unknown", GrantOutcome::Interrupted },
         { "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{\"choices\"", "outcome_unknown", GrantOutcome::Interrupted },
         { "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nnot json", "target_failed", GrantOutcome::Failed },
+        { "HTTP/1.1 200 OK\r\nContent-Le", "outcome_unknown", GrantOutcome::Interrupted },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r", "outcome_unknown", GrantOutcome::Interrupted },
+        { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "outcome_unknown", GrantOutcome::Interrupted },
+        { "HTTP/1.1 200 OK\r\nX-Version: v1\r\n\r\n", "outcome_unknown", GrantOutcome::Interrupted },
         { "garbage\r\n\r\n", "target_failed", GrantOutcome::Failed },
     };
     for (const auto &row : rows) {
