Refuse what may outlast the grace period of a stopping host

What callers saw, in a report of other operators: requests that came late in the grace period of a planned stop were taken and passed on, and cut without their target's answer at its end, also such that must not run twice.

Cause: a stopping host went by the longest usual time of a response, 1.5 s, and not by the time that the request's route and caller allow. A request on a route whose time is as long as the grace period was taken until 5.8 s after the stop, streams until 2 s after it; those that their target had not answered in time ended with a 504 or with the process.

Change: a request is taken only if its whole time, in which it may wait and be moved, ends before the grace period does. Others get 503 at once, as not run, with a time to come back; other hosts serve them. The end of the grace period is fixed when the stop begins; new settings can only bring it forward, and a second stop no longer begins it anew.

--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -78,7 +78,7 @@
     , m_scheduler(std::move(scheduler))
     , m_fleet(*m_scheduler, std::move(process), settings.region, *this)
     , m_context{ m_io, clock, codec, m_settings, *m_scheduler, m_fleet, {}, {}, {}, {},
-                 {},   0,     0,     false,      {},           false,   {}, {}, 0 }
+                 {},   0,     0,     false,      {},           false,   {}, {}, {}, 0 }
     , m_tick(m_io)
     , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
 {
@@ -300,7 +300,7 @@
         }
         if (signal == SIGHUP) {
             reload();
-        } else if (!m_context.stopping) {
+        } else {
             beginShutdown();
         }
         waitForSignal();
@@ -341,6 +341,9 @@
                 || toString(settings.readiness) != toString(m_settings.readiness)
                 || toString(settings.store) != toString(m_settings.store);
             m_settings.bounds = settings.bounds;
+            // The platform may go by either grace period.
+            m_context.graceEnds =
+                std::min(m_context.graceEnds, m_context.stoppingSince + m_settings.bounds.shutdownGrace);
             logEvent("reloaded",
                      { { "host", m_settings.hostId }, { "restart_needed", addressesChanged ? "yes" : "no" } });
             return {};
@@ -352,8 +355,12 @@
 
 void EntryHost::beginShutdown()
 {
+    if (m_context.stopping) {
+        return;
+    }
     m_context.stopping = true;
     m_context.stoppingSince = m_context.now();
+    m_context.graceEnds = m_context.stoppingSince + m_settings.bounds.shutdownGrace;
     logEvent("stopping",
              { { "host", m_settings.hostId },
                { "running", std::to_string(m_scheduler->running()) },
@@ -373,7 +380,7 @@
             busy = busy || !session->idle();
         }
     }
-    if (!busy || elapsed > m_settings.bounds.shutdownGrace - ShutdownMargin) {
+    if (!busy || now > m_context.graceEnds - ShutdownMargin) {
         m_io.stop();
     }
 }
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -716,8 +716,7 @@
 /** Returns whether the host ends so soon that what has not been answered must be answered now. */
 bool Exchange::endsSoon(state::Time now) const
 {
-    return m_context.stopping
-        && now - m_context.stoppingSince >= m_context.settings.bounds.shutdownGrace - AnswerReserve;
+    return m_context.stopping && now >= m_context.graceEnds - AnswerReserve;
 }
 
 void Exchange::checkTimeouts(state::Time now)
--- a/src/transport/entry/requestadmission.cpp
+++ b/src/transport/entry/requestadmission.cpp
@@ -30,9 +30,6 @@
  */
 constexpr state::Duration StoppingStreamWindow = std::chrono::milliseconds(2000);
 
-/** Longest time of nearly all non-streaming responses; limits only which requests a stopping host accepts. */
-constexpr state::Duration MaxPlainResponseTime = std::chrono::milliseconds(1500);
-
 /** Margin that a stopping host keeps between the end of the last request and its own end. */
 constexpr state::Duration ShutdownReserve = std::chrono::milliseconds(700);
 
@@ -114,17 +111,18 @@
     return std::nullopt;
 }
 
-/** Refuses a request that could not finish before the host ends. The load balancer may send connections until then. */
+/**
+ * Refuses a request that might not end before the host does: it may take all of its time, waiting and moves to other
+ * targets included. The load balancer may send connections until then, and other hosts can serve it.
+ */
 std::optional<Response> RequestAdmission::checkStopping() const
 {
     if (!m_context.stopping) {
         return std::nullopt;
     }
-    const state::Duration elapsed = m_context.now() - m_context.stoppingSince;
-    const state::Duration longest = m_admitted.route->kind == RequestKind::Streaming
-        ? m_context.settings.bounds.shutdownGrace - StoppingStreamWindow
-        : std::min(m_admitted.deadline - m_arrived, MaxPlainResponseTime) + ShutdownReserve;
-    if (elapsed + longest <= m_context.settings.bounds.shutdownGrace) {
+    const bool acceptsKind = m_admitted.route->kind != RequestKind::Streaming
+        || m_context.now() - m_context.stoppingSince <= StoppingStreamWindow;
+    if (acceptsKind && m_admitted.deadline + ShutdownReserve <= m_context.graceEnds) {
         return std::nullopt;
     }
     return makeErrorResponse(http::status::service_unavailable, "stopping", StoppingRetryAfter);
--- a/src/transport/entry/servingcontext.h
+++ b/src/transport/entry/servingcontext.h
@@ -39,6 +39,7 @@
     state::Time targetsConfirmed{}; /**< last time at which the known targets were up to date with the store */
     bool stopping = false;
     state::Time stoppingSince{}; /**< valid while stopping */
+    state::Time graceEnds{}; /**< valid while stopping: when the process is killed */
     std::unordered_map<std::uint64_t, Exchange *>
         waitingExchanges; /**< exchanges that wait for a decision, by request id */
     std::uint64_t lastRequestId = 0;
--- a/tests/transport/entry/testrequestsinhand.cpp
+++ b/tests/transport/entry/testrequestsinhand.cpp
@@ -1,6 +1,5 @@
+#include "tests/transport/entry/boundedhost.h"
 #include "tests/transport/entry/entryfixture.h"
-#include "tests/transport/entry/restorablestore.h"
-#include "tests/transport/entry/storehost.h"
 
 #include <atomic>
 #include <chrono>
@@ -40,102 +39,6 @@
     return "HTTP/1.1 200 OK\r\n" + std::string(Seal) + "Connection: close\r\nContent-Length: 2\r\n\r\nok";
 }
 
-/** Host with one idempotent route, and bounds that a test sets. */
-class BoundedHost
-{
-public:
-    BoundedHost(state::entry::Bounds bounds, const std::vector<std::uint16_t> &targets, int slots)
-    {
-        m_store.write(transport::entry::StoreTopic::Operator,
-                      "config",
-                      R"({"version":1,"routes":[{"name":"r","host":"a.example","pathPrefix":"/r/","kind":"idempotent",)"
-                      R"("timeoutMs":30000,"targetLatencyMs":150,"priority":0,"service":"s","maxAttempts":2,)"
-                      R"("public":false}],"services":[{"name":"s"}],)"
-                      R"("tenants":[{"name":"t1","apiKeys":["k1"],"ratePerS":1000,"burst":1000}]})");
-        for (const std::uint16_t port : targets) {
-            m_store.write(transport::entry::StoreTopic::Targets,
-                          "i-" + std::to_string(port),
-                          R"({"service":"s","address":"127.0.0.1:)" + std::to_string(port)
-                              + R"(","zone":"osu","version":"v1","concurrency":)" + std::to_string(slots)
-                              + R"(,"state":"ready"})");
-        }
-        m_settings.hostId = "host-1";
-        m_settings.address = "127.0.0.1";
-        m_settings.failureDomain = "osu";
-        m_settings.region = "accra";
-        m_settings.regionOfDomain = { { "osu", "accra" } };
-        m_settings.callers = { "127.0.0.1", freePort() };
-        m_settings.readiness = { "127.0.0.1", freePort() };
-        m_settings.peerPort = freePort();
-        m_settings.store = { "127.0.0.1", 1 };
-        m_settings.firstStart = true;
-        m_settings.bounds = bounds;
-        m_host = state::handleFailure(
-            [&] {
-                return transport::entry::EntryHost::create(
-                    m_settings, m_codec, m_clock, [this](const auto &executor, const auto &) {
-                        return m_store.client(executor);
-                    });
-            },
-            [](const state::Failure &failure) -> std::unique_ptr<transport::entry::EntryHost> {
-                throw std::runtime_error(describe(failure));
-            });
-        m_thread = std::thread([this] {
-            m_host->run();
-        });
-        waitFor([this] {
-            BlockingConnection connection(m_settings.readiness.port);
-            connection.write("GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-            return contains(connection.readToEnd(), " 200 ");
-        });
-    }
-
-    ~BoundedHost()
-    {
-        end();
-    }
-
-    BoundedHost(const BoundedHost &) = delete;
-    BoundedHost &operator=(const BoundedHost &) = delete;
-
-    std::string call() const
-    {
-        BlockingConnection connection(m_settings.callers.port);
-        connection.write("GET /r/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 20000\r\n"
-                         "X-Api-Key: k1\r\nConnection: close\r\n\r\n");
-        return connection.readToEnd();
-    }
-
-    /** Stops the host as SIGTERM does, and lets the whole grace period pass. */
-    void shutDown()
-    {
-        m_host->beginStop();
-        for (state::Duration passed{}; passed < m_settings.bounds.shutdownGrace; passed += milliseconds(200)) {
-            std::this_thread::sleep_for(milliseconds(30));
-            m_clock.advance(milliseconds(200));
-        }
-        std::this_thread::sleep_for(milliseconds(200));
-        end();
-    }
-
-private:
-    void end()
-    {
-        if (m_host) {
-            m_host->stop();
-            m_thread.join();
-            m_host.reset();
-        }
-    }
-
-    RestorableStore m_store;
-    protocol::EntrySettings m_settings;
-    platform::Codec m_codec;
-    ShiftedClock m_clock;
-    std::unique_ptr<transport::entry::EntryHost> m_host;
-    std::thread m_thread;
-};
-
 } // namespace
 
 // Guards against LOST: an exception after admission ends the session without an answer and keeps the target's slot.
