Reject requests whose end is not clear

Cause: the parser leaves the check of the framing to its caller, and the sessions of both interfaces took each request whose parser was done.

Change: a request is rejected with 400 and its connection closed if it has a Transfer-Encoding other than chunked alone, one beside a Content-Length or in HTTP/1.0, or more than one Content-Length. One function decides for entry and serve. Transfer codings before chunked are rejected, too, as the field that names them does not reach the target.

--- a/src/transport/data/callerconnection.cpp
+++ b/src/transport/data/callerconnection.cpp
@@ -4,6 +4,7 @@
 #include "transport/data/targetexchange.h"
 #include "transport/hopbyhop.h"
 #include "transport/httpserver.h"
+#include "transport/requestframing.h"
 #include "transport/sockets.h"
 
 #include <boost/asio/buffer.hpp>
@@ -134,6 +135,9 @@
     m_watchdog.arm(m_state.context.limits.receiveTimeout);
     co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     m_watchdog.disarm();
+    if (!error && !hasClearFraming(parser.get())) {
+        error = http::error::bad_transfer_encoding;
+    }
     if (!error) {
         co_return true;
     }
--- a/src/transport/entry/callersession.cpp
+++ b/src/transport/entry/callersession.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/entry/format.h"
 #include "transport/log.h"
+#include "transport/requestframing.h"
 #include "transport/sockets.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -97,6 +98,9 @@
         m_receiving = true;
         co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
     }
+    if (!error && !hasClearFraming(parser.get())) {
+        error = http::error::bad_transfer_encoding;
+    }
     if (!error && !parser.is_done()) {
         setReadDeadline(ReadPhase::Body, BodyTimeout);
         if (parser.get()[http::field::expect] == "100-continue") {
--- a/tests/transport/data/testcallers.cpp
+++ b/tests/transport/data/testcallers.cpp
@@ -39,6 +39,8 @@
         { requestText("GET /services/orders-app/x", "X-Tier: urgent\r\n", ""), "400", "bad_request" },
         { requestText("GET /services/orders-app/x", "X-Tier: none\r\n", ""), "400", "bad_request" },
         { requestText("GET /services/orders-app/x", "X-Deadline-Ms: -5\r\n", ""), "400", "bad_request" },
+        { requestText("GET /services/orders-app/x", "Transfer-Encoding: identity\r\n", ""), "400", "bad_request" },
+        { requestText("GET /services/orders-app/x", "Content-Length: 0\r\n", ""), "400", "bad_request" },
         { chatText("{"), "400", "bad_request" },
         { chatText(R"({"model":"none","messages":[{"role":"user","content":"x"}]})"), "404", "unknown_model" },
         { "nonsense\r\n\r\n", "400", "bad_request" },
