--- a/src/transport/requestframing.cpp
+++ b/src/transport/requestframing.cpp
@@ -12,8 +12,8 @@
     if (encodings == 0) {
         return lengths <= 1;
     }
-    constexpr unsigned Http11 = 11;
-    return encodings == 1 && lengths == 0 && header.version() == Http11
+    constexpr unsigned http11 = 11;
+    return encodings == 1 && lengths == 0 && header.version() == http11
         && boost::beast::iequals(header[field::transfer_encoding], "chunked");
 }
 
