Keep requests in the regions that their route and customer allow

Ruled out: the decider's own configuration as the source, as deciders may be a version behind; passing callers on to another host. Change: RegionRules; the request for a decision names the regions, the decider filters, the host checks before it connects. A new configuration applies to waiting requests.

--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -109,6 +109,7 @@
     , m_suspects(self)
     , m_rollouts(bounds, self)
     , m_location(std::move(location))
+    , m_regionRules(m_location.regionOfDomain)
     , m_targetChoice(std::make_unique<ExpectedTimeChoice>(m_location.regionOfDomain))
 {
 }
@@ -140,9 +141,10 @@
     waiting.parts = request.parts;
     waiting.host = request.host;
     waiting.backOffs = request.backOffs;
+    waiting.allowedRegions = request.allowedRegions;
     averages.service = request.service;
     averages.rank = WaitingQueue::rankOf(waiting, now);
-    if (m_targets.ofService(request.service).empty()) {
+    if (!hasTargetIn(request.service, request.allowedRegions)) {
         return refuse(waiting, RefusalReason::NoTarget, now);
     }
     if (isBlocked(waiting.parts, waiting.service, now)) {
@@ -227,6 +229,15 @@
     return usable;
 }
 
+/** Returns whether @p service has a target in one of @p regions. */
+bool Scheduler::hasTargetIn(std::string_view service, const AllowedRegions &regions) const
+{
+    const auto &targets = m_targets.ofService(service);
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetLoad *target) {
+        return m_regionRules.allows(regions, target->entry().failureDomain);
+    });
+}
+
 /** Returns whether @p target may be used at all: discovery, its own statement, its health and rollouts permit it. */
 bool Scheduler::isUsable(const TargetLoad &target, state::Time now) const
 {
@@ -245,8 +256,9 @@
 }
 
 /**
- * Returns the targets with a free slot that @p request has not tried yet, that meet its pause limit and that accept a
- * request now. Those that have asked other hosts for a pause are only returned if there are no others.
+ * Returns the targets with a free slot in the regions of @p request that it has not tried yet, that meet its pause
+ * limit and that accept a request now. Those that have asked other hosts for a pause are only returned if there are no
+ * others.
  */
 std::vector<TargetLoad *>
 Scheduler::fittingTargets(const WaitingRequest &request, std::span<TargetLoad *const> usable, state::Time now)
@@ -263,8 +275,10 @@
         // share.
         const bool open =
             target->usable(now) && m_rollouts.mayUse(request.service, target->entry().softwareVersion, m_deciders);
-        if (open && target->hasRoom() && !tried && meetsPauseLimit(*target, request) && mayHold(*target, request, now)
-            && !closedUntil(*target, request, now) && m_statements.mayDispatch(target->hash(), now)) {
+        const bool allowed = m_regionRules.allows(request.allowedRegions, target->entry().failureDomain);
+        if (open && allowed && target->hasRoom() && !tried && meetsPauseLimit(*target, request)
+            && mayHold(*target, request, now) && !closedUntil(*target, request, now)
+            && m_statements.mayDispatch(target->hash(), now)) {
             (m_statements.isBackingOff(target->hash(), now) ? backingOff : fitting).push_back(target);
         }
     }
@@ -303,7 +317,7 @@
     std::optional<state::Time> first;
     const auto &excluded = request.excludedTargets;
     for (const TargetLoad *target : m_targets.ofService(request.service)) {
-        if (!isUsable(*target, now)) {
+        if (!isUsable(*target, now) || !m_regionRules.allows(request.allowedRegions, target->entry().failureDomain)) {
             continue;
         }
         if (std::find(excluded.begin(), excluded.end(), target->entry().id) != excluded.end()) {
@@ -622,6 +636,9 @@
     double slots = 0;
     double closedSlots = 0;
     for (const TargetLoad *target : usableTargets(request.service, now)) {
+        if (!m_regionRules.allows(request.allowedRegions, target->entry().failureDomain)) {
+            continue;
+        }
         const auto rate = m_statements.rate(target->hash(), now);
         const double all = target->entry().slots;
         const double usable = rate ? std::min(all, *rate * request.usualSlotMs / 1000) : all;
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -5,6 +5,7 @@
 #include "coordination/entry/peertable.h"
 #include "coordination/entry/quotatable.h"
 #include "coordination/entry/recentfailures.h"
+#include "coordination/entry/regionrules.h"
 #include "coordination/entry/rolloutcontroller.h"
 #include "coordination/entry/routestatistics.h"
 #include "coordination/entry/scheduledrequest.h"
@@ -72,6 +73,12 @@
         return m_suspects;
     }
 
+    /** In which failure domains the requests of a route and a customer may run. */
+    const RegionRules &regionRules() const
+    {
+        return m_regionRules;
+    }
+
     RolloutController &rollouts()
     {
         return m_rollouts;
@@ -164,6 +171,7 @@
 
     void decideService(std::string_view service, state::Time now, std::vector<Decision> &decisions);
     std::vector<TargetLoad *> usableTargets(std::string_view service, state::Time now) const;
+    bool hasTargetIn(std::string_view service, const AllowedRegions &regions) const;
     bool isUsable(const TargetLoad &target, state::Time now) const;
     static bool meetsPauseLimit(const TargetLoad &target, const WaitingRequest &request);
     std::vector<TargetLoad *>
@@ -199,6 +207,7 @@
     RouteStatistics m_routes;
     WaitingQueue m_queue;
     Location m_location;
+    RegionRules m_regionRules;
     std::unique_ptr<TargetChoice> m_targetChoice;
     std::size_t m_deciders = 1;
     std::unordered_map<std::uint64_t, Attempt> m_running;
--- a/src/coordination/entry/waitingqueue.h
+++ b/src/coordination/entry/waitingqueue.h
@@ -36,6 +36,7 @@
     std::vector<std::string> excludedTargets; /**< already tried */
     std::vector<std::uint64_t> parts; /**< see ScheduledRequest::parts */
     std::vector<BackOff> backOffs; /**< that made the host refuse placements of this request */
+    AllowedRegions allowedRegions; /**< see ScheduledRequest::allowedRegions */
 };
 
 /**
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -20,7 +20,7 @@
 using coordination::entry::ScheduledRequest;
 
 /** First four bytes of each message; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53434405;
+constexpr std::uint32_t Magic = 0x53434406;
 
 /** Encodes an absent number; a number that is present is never negative. */
 constexpr double NoNumber = -1;
@@ -31,6 +31,9 @@
 /** Most back-offs of targets in a message; a request meets few of them, as its host reports them as well. */
 constexpr std::size_t MaxBackOffs = 32;
 
+/** Most regions that a message names, more than a fleet has. */
+constexpr std::size_t MaxRegions = 64;
+
 /** Visits a number that is not negative or absent. All visit functions serve BinaryWriter and BinaryReader. */
 template <typename Codec, typename Number>
 void visitOptional(Codec &codec, Number &number)
@@ -121,6 +124,14 @@
         writer.number(backOff.target);
         writer.number(coordination::entry::ageMs(now, backOff.until));
     }
+    writer.flag(request.allowedRegions.has_value());
+    if (request.allowedRegions) {
+        const std::size_t regions = std::min(request.allowedRegions->size(), MaxRegions);
+        writer.number(static_cast<std::uint8_t>(regions));
+        for (const auto &region : std::span(*request.allowedRegions).first(regions)) {
+            writer.text(region);
+        }
+    }
 }
 
 void read(BinaryReader &reader, ScheduledRequest &request, state::Time now)
@@ -164,6 +175,16 @@
         reader.number(remainingMs);
         backOff.until = now + std::chrono::milliseconds(remainingMs);
     }
+    bool bound = false;
+    reader.flag(bound);
+    if (bound) {
+        std::uint8_t regions = 0;
+        reader.number(regions);
+        auto &allowed = request.allowedRegions.emplace();
+        for (std::uint8_t i = 0; i < regions && !reader.failed(); ++i) {
+            reader.text(allowed.emplace_back());
+        }
+    }
 }
 
 template <typename Codec, typename Value>
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -269,6 +269,7 @@
     request.excludedTargets.insert(request.excludedTargets.end(), m_rejectingTargets.begin(), m_rejectingTargets.end());
     request.parts = m_admitted.suspects;
     request.backOffs = m_backOffs;
+    request.allowedRegions = m_admitted.allowedRegions;
     if (!m_quotaCharged) {
         request.customer = m_admitted.customer;
         request.cost = m_admitted.cost;
@@ -276,19 +277,30 @@
     return request;
 }
 
-/** Waits until the scheduler has chosen a target; returns the error response if it refuses the request. */
-asio::awaitable<std::optional<Response>> Exchange::waitForTarget()
+/** Requests a decision about this request, with the regions that are allowed now. */
+void Exchange::submit()
 {
-    const state::Time now = m_context.now();
+    m_admission.updateRegions();
     ScheduledRequest request = scheduledRequest();
     request.id = m_id = ++m_context.lastRequestId;
     m_decision.reset();
     m_context.waitingExchanges[m_id] = this;
-    m_context.fleet.submit(std::move(request), now);
+    m_context.fleet.submit(std::move(request), m_context.now());
+}
+
+/** Waits until the scheduler has chosen a target; returns the error response if it refuses the request. */
+asio::awaitable<std::optional<Response>> Exchange::waitForTarget()
+{
+    submit();
     while (!m_decision && m_state == State::Open) {
         m_decisionTimer.expires_at(asio::steady_timer::time_point::max());
         boost::system::error_code ignored;
         co_await m_decisionTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (std::exchange(m_regionsChanged, false) && !m_decision && m_state == State::Open) {
+            m_context.waitingExchanges.erase(m_id);
+            m_context.fleet.withdraw(m_id, m_context.now());
+            submit();
+        }
     }
     m_context.waitingExchanges.erase(m_id);
     if (!m_decision) {
@@ -310,6 +322,7 @@
                    { "retry_after_ms", milliseconds(m_decision->retryAfter) },
                    { "customer", m_admitted.customer },
                    { "cost", std::to_string(static_cast<std::int64_t>(m_admitted.cost)) },
+                   { "regions", coordination::entry::describe(m_admitted.allowedRegions) },
                    { "decider", m_decision->decider },
                    { "requests_waiting",
                      std::to_string(m_context.scheduler.waiting() + m_context.fleet.awaitingDecision()) },
@@ -332,10 +345,18 @@
     return m_context.scheduler.statements().closedUntil(decision.targetHash, {}, m_context.now());
 }
 
+/** Returns whether the target of @p decision lies in a region in which this request may run now. */
+bool Exchange::isAllowed(const Decision &decision)
+{
+    m_admission.updateRegions();
+    return m_context.scheduler.regionRules().allows(m_admitted.allowedRegions, decision.target.failureDomain);
+}
+
 /** Returns whether nothing may be sent to the target of @p decision now. */
-bool Exchange::isWithheld(const Decision &decision) const
+bool Exchange::isWithheld(const Decision &decision)
 {
-    return closedUntil(decision) || m_context.fleet.isOutdated(decision.targetsConfirmed, m_context.now());
+    return closedUntil(decision) || !isAllowed(decision)
+        || m_context.fleet.isOutdated(decision.targetsConfirmed, m_context.now());
 }
 
 /** Returns whether the request may be placed again, as nothing was sent to the last target. */
@@ -344,7 +365,8 @@
     return result.withheld && m_state == State::Open && m_withheld < MaxWithheldPlacements;
 }
 
-/** Records that the request was not sent to @p target: it wants none, or was placed from too old a list of targets. */
+/** Records that the request was not sent to @p target: it wants none, lies in a region that is not
+ * allowed, or was placed from too old a list of targets. */
 void Exchange::recordWithheld(const state::entry::TargetEntry &target)
 {
     const state::Time now = m_context.now();
@@ -360,6 +382,7 @@
                { "decider", m_decision->decider },
                { "leaving", until == state::Time::max() ? "yes" : "no" },
                { "closed", until ? "yes" : "no" },
+               { "region_allowed", isAllowed(*m_decision) ? "yes" : "no" },
                { "targets_age_ms", milliseconds(now - m_decision->targetsConfirmed) },
                { "times", std::to_string(m_withheld) } });
     m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
@@ -406,6 +429,7 @@
              { { "request", m_admitted.fields.attemptId },
                { "target", m_triedTargets.empty() ? "none" : m_triedTargets.back() },
                { "silent_ms", milliseconds(now - std::max(m_lastEventAt, m_dispatched)) } });
+    m_admission.updateRegions();
     m_handover.begin(scheduledRequest(), now);
 }
 
@@ -727,6 +751,14 @@
     }
 }
 
+void Exchange::configurationChanged()
+{
+    if (m_admitted.route != nullptr && m_admission.updateRegions()) {
+        m_regionsChanged = true;
+        m_decisionTimer.cancel();
+    }
+}
+
 /** Returns whether the host ends so soon that what has not been answered must be answered now. */
 bool Exchange::endsSoon(state::Time now) const
 {
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -37,6 +37,9 @@
     /** Called when the scheduler has decided about this request. */
     void decided(coordination::entry::Decision decision);
 
+    /** Called when a new configuration is in force, which may allow other regions. */
+    void configurationChanged();
+
     /** Called when the caller has closed its connection. */
     void callerDisconnected();
 
@@ -58,12 +61,14 @@
     enum class State { Open, CallerDisconnected, TimedOut };
 
     coordination::entry::ScheduledRequest scheduledRequest() const;
+    void submit();
     boost::asio::awaitable<std::optional<Response>> waitForTarget();
     void requestHandover(state::Time now);
     void endAttempt(state::Time now);
     bool endsSoon(state::Time now) const;
     std::optional<state::Time> closedUntil(const coordination::entry::Decision &decision) const;
-    bool isWithheld(const coordination::entry::Decision &decision) const;
+    bool isAllowed(const coordination::entry::Decision &decision);
+    bool isWithheld(const coordination::entry::Decision &decision);
     bool mayPlaceAgain(const AttemptResult &result) const;
     void recordWithheld(const state::entry::TargetEntry &target);
     state::Duration ownRetryAfter() const;
@@ -119,6 +124,7 @@
     state::Time m_dispatched{}; /**< of the current attempt */
     state::Duration m_longestPause{}; /**< between two writes of events */
     bool m_quotaCharged = false; /**< the request was charged to the customer's quota */
+    bool m_regionsChanged = false; /**< while the request waits for a decision */
     bool m_mayHaveRun = false;
     bool m_streamStarted = false;
     bool m_responding = false; /**< a response that is no stream is being written */
--- a/src/transport/entry/requestadmission.cpp
+++ b/src/transport/entry/requestadmission.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace sapphirecove::transport::entry {
 
@@ -96,6 +97,7 @@
     }
     chooseService();
     identify();
+    updateRegions();
     return std::nullopt;
 }
 
@@ -148,6 +150,27 @@
     return std::nullopt;
 }
 
+bool RequestAdmission::updateRegions()
+{
+    if (m_regionsTable == m_context.table) {
+        return false;
+    }
+    m_regionsTable = m_context.table;
+    const auto *route =
+        m_regionsTable->findRoute(withoutPort(toView(m_request[http::field::host])), toView(m_request.target()));
+    if (route == nullptr) {
+        return false; // The route was removed meanwhile; its last regions go on to bind this request.
+    }
+    const bool hasCustomer = !m_admitted.customer.empty();
+    const auto *customer = hasCustomer ? m_regionsTable->findCustomer(m_admitted.fields.key) : nullptr;
+    if (hasCustomer && customer == nullptr) {
+        return false;
+    }
+    const auto before =
+        std::exchange(m_admitted.allowedRegions, coordination::entry::RegionRules::allowed(*route, customer));
+    return before != m_admitted.allowedRegions;
+}
+
 /**
  * Chooses a service by the route's weights. A hash of the attempt id takes the place of a random number, so that the
  * choice is reproducible.
--- a/src/transport/entry/requestadmission.h
+++ b/src/transport/entry/requestadmission.h
@@ -22,6 +22,7 @@
     std::string service;
     bool model = false; /**< the service consists of model engines */
     double cost = 0; /**< in the unit of the customer's quota */
+    coordination::entry::AllowedRegions allowedRegions;
     std::vector<std::uint64_t> suspects; /**< the request itself, then the parts of its prompt; see CrashSuspects */
     state::Time deadline{}; /**< earlier end of the route's timeout and the caller's deadline */
 };
@@ -36,6 +37,9 @@
     /** Returns the error response for a refused request; nothing if the request may be served. */
     std::optional<Response> check();
 
+    /** Applies the regions of the configuration in force; returns whether they have changed since the last call. */
+    bool updateRegions();
+
 private:
     std::optional<Response> checkConfiguration() const;
     std::optional<Response> checkStopping() const;
@@ -47,6 +51,7 @@
     const Request &m_request;
     state::Time m_arrived;
     AdmittedRequest &m_admitted;
+    std::shared_ptr<const state::entry::RoutingTable> m_regionsTable; /**< that updateRegions() used last */
 };
 
 } // namespace sapphirecove::transport::entry
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -4,6 +4,7 @@
 #include "protocol/hostrecordcodec.h"
 #include "protocol/partevidencecodec.h"
 #include "protocol/quotausecodec.h"
+#include "transport/entry/exchange.h"
 #include "transport/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -85,6 +86,9 @@
 /** Interval at which a host reads the outcome of an order whose time is over. */
 constexpr state::Duration RolloutOutcomeInterval = std::chrono::seconds(5);
 
+/** Most problems with the regions of one configuration that are logged. */
+constexpr std::size_t MaxRegionProblems = 32;
+
 /** Delay before a task that ended by an exception runs again. */
 constexpr state::Duration TaskRestartDelay = std::chrono::milliseconds(500);
 
@@ -880,6 +884,10 @@
                        { "customers", std::to_string(table.customers().size()) } });
             m_context.table = std::make_shared<const state::entry::RoutingTable>(std::move(table));
             m_context.configurationInForce = m_context.now();
+            logRegionProblems(*m_context.table);
+            for (const auto &[id, exchange] : m_context.waitingExchanges) {
+                exchange->configurationChanged();
+            }
             return std::optional(true);
         },
         [](const state::Failure &failure) {
@@ -888,6 +896,19 @@
         });
 }
 
+/** Logs regions in @p table that are unknown, and routes and customers that have none in common. */
+void StoreFollower::logRegionProblems(const state::entry::RoutingTable &table) const
+{
+    for (const auto &problem : m_context.scheduler.regionRules().problems(table, MaxRegionProblems)) {
+        logEvent("configuration_region_invalid",
+                 { { "version", std::to_string(table.version()) },
+                   { "route", problem.route },
+                   { "customer", problem.customer },
+                   { "unknown_region", problem.region },
+                   { "none_in_common", problem.region.empty() ? "yes" : "no" } });
+    }
+}
+
 void StoreFollower::applyRollout(const StoreRecord &record)
 {
     applyRecord(
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -96,6 +96,7 @@
     std::optional<bool> applyConfiguration(const StoreRecord &record);
     bool useConfiguration(const StoreRecord &record);
     void provideToPeers(const StoreRecord &record);
+    void logRegionProblems(const state::entry::RoutingTable &table) const;
     void applyRollout(const StoreRecord &record);
     bool isHostAddress(const state::entry::TargetEntry &entry) const;
     void applyTargets(const StorePage &page, bool complete, const TopicState &topicState);
