Send nothing to the targets of evacuated failure domains

Ruled out: treating them as targets that leave, which is for good; all hosts reading the operator's topic. Change: Evacuations, kept with era and position of the operator's topic; reports and replies pass them on; one check before sending, FleetScheduler::isWithheld(), where two stood before.

--- a/src/coordination/entry/decidermessages.h
+++ b/src/coordination/entry/decidermessages.h
@@ -89,6 +89,8 @@
     std::vector<StatementShare> statements; /**< only sent if the digest differs from that of the report */
     std::uint32_t suspectsDigest = 0; /**< see CrashSuspects::digest() */
     std::vector<PartEvidence> suspects; /**< only sent if the digest differs from that of the report */
+    std::uint32_t evacuationsDigest = 0; /**< see Evacuations::digest() */
+    std::vector<EvacuationShare> evacuations; /**< only sent if the digest differs from that of the report */
 };
 
 /** Returns a hash that identifies a process in reports. */
--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -138,6 +138,7 @@
     m_directory.reportAnswered(reply, state::timeFromMicroseconds(reply.reportSentAt));
     m_scheduler.statements().merge(reply.statements, now);
     m_scheduler.suspects().merge(reply.suspects, now);
+    m_scheduler.evacuations().merge(reply.evacuations);
     // Deciders know the usage from the reports. If they also took it from each other, it would never decrease.
     if (!reply.quotas.empty() && !m_directory.isCandidate(now) && !isActiveDecider(now)) {
         m_scheduler.quotas().raiseUseTo(reply.quotas, now);
@@ -150,6 +151,7 @@
     m_scheduler.quotas().peerReported(report, now);
     m_scheduler.statements().peerReported(report, now);
     m_scheduler.suspects().merge(report.suspects, now);
+    m_scheduler.evacuations().merge(report.evacuations);
     if (m_scheduler.waiting() > 0) {
         decide(now);
     }
@@ -176,6 +178,11 @@
     if (reply.suspectsDigest != report.suspectsDigest) {
         reply.suspects = suspects.shares(now);
     }
+    const Evacuations &evacuations = m_scheduler.evacuations();
+    reply.evacuationsDigest = evacuations.digest();
+    if (reply.evacuationsDigest != report.evacuationsDigest) {
+        reply.evacuations = evacuations.shares();
+    }
     if (isActiveDecider(now)) {
         if (now - m_sharesAt >= ShareInterval) {
             m_sharesAt = now;
@@ -300,6 +307,9 @@
     if (differsAtRecipients(&ReportReply::suspectsDigest, report.suspectsDigest, now)) {
         report.suspects = m_scheduler.suspects().shares(now);
     }
+    if (differsAtRecipients(&ReportReply::evacuationsDigest, report.evacuationsDigest, now)) {
+        report.evacuations = m_scheduler.evacuations().shares();
+    }
 }
 
 /** Returns whether a recipient of this host's reports may know something else than this host, which has @p digest. */
@@ -335,6 +345,12 @@
     m_storeAway = away;
 }
 
+bool FleetScheduler::isWithheld(const PlacedTarget &target, state::Time now) const
+{
+    return m_scheduler.statements().closedUntil(target.hash, {}, now)
+        || m_scheduler.evacuations().isEvacuated(target.failureDomain) || isOutdated(target.listConfirmed, now);
+}
+
 /** Returns when the list of targets must have been confirmed from which a request may be placed now. */
 state::Time FleetScheduler::oldestTargets(state::Time now) const
 {
--- a/src/coordination/entry/fleetscheduler.h
+++ b/src/coordination/entry/fleetscheduler.h
@@ -27,6 +27,14 @@
     virtual void send(const AttemptUpdate &update, const KnownHost &to) = 0;
 };
 
+/** Target of a placement, as far as it matters for whether the request may still be sent. */
+struct PlacedTarget
+{
+    std::uint32_t hash = 0; /**< see TargetLoad::hash() */
+    std::string_view failureDomain;
+    state::Time listConfirmed{}; /**< see Decision::targetsConfirmed */
+};
+
 /**
  * Obtains decisions for the requests of this host, from the decider of the fleet or, if none answers, from the host's
  * own Scheduler. Decides for other hosts while this host is the decider. The classes in src/coordination/entry serve
@@ -80,7 +88,8 @@
     {
         const bool statements = m_scheduler.statements().takeUrgent();
         const bool suspects = m_scheduler.suspects().takeUrgent();
-        return statements || suspects;
+        const bool evacuations = m_scheduler.evacuations().takeUrgent();
+        return statements || suspects || evacuations;
     }
 
     /** Adds the load and counts of this host to its report to the deciders. */
@@ -104,6 +113,12 @@
         return targetsConfirmed < oldestTargets(now);
     }
 
+    /**
+     * Returns whether nothing may be sent to @p target now: it wants no requests from this host, the operator evacuates
+     * its failure domain, or isOutdated().
+     */
+    bool isWithheld(const PlacedTarget &target, state::Time now) const;
+
     /** Returns the placements of this host's requests that were too old to be used since the last call. */
     std::vector<PendingDecisionTable::Outdated> takeOutdatedPlacements()
     {
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -95,6 +95,15 @@
     float latencyLogSquareSum = 0;
 };
 
+/** Whether a failure domain is evacuated, as the sender knows it; see Evacuations. */
+struct EvacuationShare
+{
+    std::string domain;
+    bool evacuated = false;
+    std::uint64_t era = 0; /**< of the metadata store at the position up to which this holds */
+    std::uint64_t offset = 0; /**< position in the operator's topic up to which this holds */
+};
+
 /** State that each host sends several times a second to the candidate deciders. */
 struct PeerReport
 {
@@ -120,6 +129,8 @@
     std::vector<BackOffShare> backOffs;
     std::uint32_t suspectsDigest = 0; /**< see CrashSuspects::digest() */
     std::vector<PartEvidence> suspects; /**< only sent if a recipient may have other evidence */
+    std::uint32_t evacuationsDigest = 0; /**< see Evacuations::digest() */
+    std::vector<EvacuationShare> evacuations; /**< only sent if a recipient may know others */
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -144,7 +144,7 @@
     waiting.allowedRegions = request.allowedRegions;
     averages.service = request.service;
     averages.rank = WaitingQueue::rankOf(waiting, now);
-    if (!hasTargetIn(request.service, request.allowedRegions)) {
+    if (!isServed(request.service, request.allowedRegions)) {
         return refuse(waiting, RefusalReason::NoTarget, now);
     }
     if (isBlocked(waiting.parts, waiting.service, now)) {
@@ -183,6 +183,15 @@
             decisions.push_back(refuseBlocked(blocked, now));
         }
     }
+    if (m_evacuationsApplied != m_evacuations.begun()) {
+        m_evacuationsApplied = m_evacuations.begun();
+        const auto hasNoTarget = [&](const WaitingRequest &request) {
+            return !isServed(request.service, request.allowedRegions);
+        };
+        for (const auto &request : m_queue.takeIf(hasNoTarget)) {
+            decisions.push_back(refuse(request, RefusalReason::NoTarget, now));
+        }
+    }
     // Back-offs only grow longer by new statements, so that no other time needs the check.
     if (m_backOffsApplied != m_statements.backOffsHeard()) {
         m_backOffsApplied = m_statements.backOffsHeard();
@@ -229,20 +238,25 @@
     return usable;
 }
 
-/** Returns whether @p service has a target in one of @p regions. */
-bool Scheduler::hasTargetIn(std::string_view service, const AllowedRegions &regions) const
+/** Returns whether @p service has a target in one of @p regions and outside the evacuated failure domains. */
+bool Scheduler::isServed(std::string_view service, const AllowedRegions &regions) const
 {
     const auto &targets = m_targets.ofService(service);
     return std::any_of(targets.begin(), targets.end(), [&](const TargetLoad *target) {
-        return m_regionRules.allows(regions, target->entry().failureDomain);
+        const std::string &domain = target->entry().failureDomain;
+        return m_regionRules.allows(regions, domain) && !m_evacuations.isEvacuated(domain);
     });
 }
 
-/** Returns whether @p target may be used at all: discovery, its own statement, its health and rollouts permit it. */
+/**
+ * Returns whether @p target may be used at all: discovery, its own statement, its health, evacuations and rollouts
+ * permit it.
+ */
 bool Scheduler::isUsable(const TargetLoad &target, state::Time now) const
 {
     const auto &entry = target.entry();
-    const bool stays = m_targets.accepts(target) && !m_statements.isLeaving(target.hash());
+    const bool stays = m_targets.accepts(target) && !m_statements.isLeaving(target.hash())
+        && !m_evacuations.isEvacuated(entry.failureDomain);
     return stays && m_rollouts.mayUse(entry.service, entry.softwareVersion, m_deciders) && target.usable(now);
 }
 
@@ -608,6 +622,7 @@
     report.sent = m_statements.sentShares(now);
     report.backOffs = m_statements.backOffShares(now);
     report.suspectsDigest = m_suspects.digest();
+    report.evacuationsDigest = m_evacuations.digest();
 }
 
 /**
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry/crashsuspects.h"
+#include "coordination/entry/evacuations.h"
 #include "coordination/entry/fleetretrybudget.h"
 #include "coordination/entry/peertable.h"
 #include "coordination/entry/quotatable.h"
@@ -79,6 +80,12 @@
         return m_regionRules;
     }
 
+    /** The failure domains to whose targets nothing may be sent. */
+    Evacuations &evacuations()
+    {
+        return m_evacuations;
+    }
+
     RolloutController &rollouts()
     {
         return m_rollouts;
@@ -171,7 +178,7 @@
 
     void decideService(std::string_view service, state::Time now, std::vector<Decision> &decisions);
     std::vector<TargetLoad *> usableTargets(std::string_view service, state::Time now) const;
-    bool hasTargetIn(std::string_view service, const AllowedRegions &regions) const;
+    bool isServed(std::string_view service, const AllowedRegions &regions) const;
     bool isUsable(const TargetLoad &target, state::Time now) const;
     static bool meetsPauseLimit(const TargetLoad &target, const WaitingRequest &request);
     std::vector<TargetLoad *>
@@ -199,6 +206,8 @@
     FleetRetryBudget m_retryBudget;
     TargetStatements m_statements;
     CrashSuspects m_suspects;
+    Evacuations m_evacuations;
+    std::uint64_t m_evacuationsApplied = 0; /**< Evacuations::begun() when waiting requests were last checked */
     std::uint64_t m_blockingsApplied = 0; /**< CrashSuspects::blockings() when waiting requests were last checked */
     std::uint64_t m_backOffsApplied = 0; /**< backOffsHeard() when waiting requests were last checked */
     RolloutController m_rollouts;
--- a/src/protocol/binarycodec.h
+++ b/src/protocol/binarycodec.h
@@ -174,6 +174,16 @@
     codec.number(share.leavingAgeMs);
 }
 
+/** Visits the fields of an EvacuationShare in wire order, for both BinaryWriter and BinaryReader. */
+template <typename Codec, typename Share>
+void visitEvacuation(Codec &codec, Share &share)
+{
+    codec.text(share.domain);
+    codec.flag(share.evacuated);
+    codec.number(share.era);
+    codec.number(share.offset);
+}
+
 /** Visits the fields of a PartEvidence in wire order, for both BinaryWriter and BinaryReader. */
 template <typename Codec, typename Evidence>
 void visitEvidence(Codec &codec, Evidence &evidence)
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -20,7 +20,7 @@
 using coordination::entry::ScheduledRequest;
 
 /** First four bytes of each message; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53434406;
+constexpr std::uint32_t Magic = 0x53434407;
 
 /** Encodes an absent number; a number that is present is never negative. */
 constexpr double NoNumber = -1;
@@ -278,6 +278,10 @@
     visitList(codec, reportReply.suspects, [&codec](auto &evidence) {
         visitEvidence(codec, evidence);
     });
+    codec.number(reportReply.evacuationsDigest);
+    visitList(codec, reportReply.evacuations, [&codec](auto &evacuation) {
+        visitEvacuation(codec, evacuation);
+    });
 }
 
 void write(BinaryWriter &writer, const DecisionRequest &decisionRequest, state::Time now)
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -12,6 +12,7 @@
 
 using coordination::entry::ActiveRequest;
 using coordination::entry::BackOffShare;
+using coordination::entry::EvacuationShare;
 using coordination::entry::PartEvidence;
 using coordination::entry::PeerReport;
 using coordination::entry::QuotaShare;
@@ -22,7 +23,7 @@
 using coordination::entry::VersionShare;
 
 /** First four bytes of each report; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53435207;
+constexpr std::uint32_t Magic = 0x53435208;
 
 // Each visit function lists the fields of one struct in wire order, for both BinaryWriter and BinaryReader.
 
@@ -107,6 +108,13 @@
     visitEvidence(codec, share);
 }
 
+template <typename Codec, typename Share>
+requires std::same_as<std::remove_const_t<Share>, EvacuationShare>
+void visit(Codec &codec, Share &share)
+{
+    visitEvacuation(codec, share);
+}
+
 template <typename Share>
 void writeList(BinaryWriter &writer, const std::vector<Share> &shares)
 {
@@ -161,6 +169,8 @@
     writeList(writer, report.backOffs);
     writer.number(report.suspectsDigest);
     writeList(writer, report.suspects);
+    writer.number(report.evacuationsDigest);
+    writeList(writer, report.evacuations);
     return writer.take();
 }
 
@@ -188,6 +198,8 @@
     readList(reader, report.backOffs);
     reader.number(report.suspectsDigest);
     readList(reader, report.suspects);
+    reader.number(report.evacuationsDigest);
+    readList(reader, report.evacuations);
     if (reader.failed() || !reader.atEnd()) {
         return state::fail(step, report.host, "malformed, truncated or followed by extra bytes");
     }
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -222,6 +222,7 @@
     logOutdatedPlacements();
     logLearnedStatements(now);
     logSuspectChanges();
+    logEvacuations();
     logDeciderChange(now);
     m_peers->sendDueReports(now);
     if (m_context.stopping) {
@@ -276,6 +277,25 @@
     }
 }
 
+/** Logs the failure domains whose evacuation has begun or ended. */
+void EntryHost::logEvacuations()
+{
+    const auto targets = m_scheduler->targets().all();
+    for (const auto &change : m_scheduler->evacuations().takeChanges()) {
+        const auto inDomain = std::count_if(targets.begin(), targets.end(), [&](const auto *target) {
+            return target->entry().failureDomain == change.domain;
+        });
+        m_context.metrics.count(change.evacuated ? "evacuations_begun_total" : "evacuations_ended_total");
+        logEvent(change.evacuated ? "evacuation_begun" : "evacuation_ended",
+                 { { "failure_domain", change.domain },
+                   { "known", m_settings.regionOfDomain.contains(change.domain) ? "yes" : "no" },
+                   { "targets", std::to_string(inDomain) },
+                   { "source", change.fromPeer ? "peer" : "store" },
+                   { "era", std::to_string(change.position.era) },
+                   { "offset", std::to_string(change.position.offset) } });
+    }
+}
+
 /** Logs the requests and parts of prompts that are now blocked or no longer blocked. */
 void EntryHost::logSuspectChanges()
 {
@@ -439,6 +459,7 @@
     const auto &statements = m_scheduler->statements();
     const std::size_t backingOff = statements.backingOffCount(m_context.now());
     text += "sapphirecove_targets_leaving " + std::to_string(statements.leavingCount()) + '\n';
+    text += "sapphirecove_evacuated_domains " + std::to_string(m_scheduler->evacuations().evacuatedCount()) + '\n';
     text += "sapphirecove_targets_backing_off " + std::to_string(backingOff) + '\n';
     return makeResponse(request, http::status::ok, MetricsMediaType, std::move(text));
 }
--- a/src/transport/entry/entryhost.h
+++ b/src/transport/entry/entryhost.h
@@ -78,6 +78,7 @@
     void logOutdatedPlacements();
     void logLearnedStatements(state::Time now);
     void logSuspectChanges();
+    void logEvacuations();
     void logDeciderChange(state::Time now);
     void waitForSignal();
     void reload();
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -23,6 +23,7 @@
 
 using coordination::entry::AttemptOutcome;
 using coordination::entry::Decision;
+using coordination::entry::PlacedTarget;
 using coordination::entry::RefusalReason;
 using coordination::entry::ScheduledRequest;
 using state::entry::RequestKind;
@@ -355,8 +356,8 @@
 /** Returns whether nothing may be sent to the target of @p decision now. */
 bool Exchange::isWithheld(const Decision &decision)
 {
-    return closedUntil(decision) || !isAllowed(decision)
-        || m_context.fleet.isOutdated(decision.targetsConfirmed, m_context.now());
+    const PlacedTarget target{ decision.targetHash, decision.target.failureDomain, decision.targetsConfirmed };
+    return !isAllowed(decision) || m_context.fleet.isWithheld(target, m_context.now());
 }
 
 /** Returns whether the request may be placed again, as nothing was sent to the last target. */
@@ -365,14 +366,18 @@
     return result.withheld && m_state == State::Open && m_withheld < MaxWithheldPlacements;
 }
 
-/** Records that the request was not sent to @p target: it wants none, lies in a region that is not
- * allowed, or was placed from too old a list of targets. */
+/**
+ * Records that the request was not sent to @p target: it wants none, its failure domain is evacuated or in a region
+ * that is not allowed, or it was placed from too old a list of targets.
+ */
 void Exchange::recordWithheld(const state::entry::TargetEntry &target)
 {
     const state::Time now = m_context.now();
     const auto until = closedUntil(*m_decision);
-    if (until) {
-        m_backOffs.push_back({ m_decision->targetHash, std::min(*until, now + StatementReportTime) });
+    const bool evacuated = m_context.scheduler.evacuations().isEvacuated(target.failureDomain);
+    if (until || evacuated) {
+        const state::Time reported = now + StatementReportTime;
+        m_backOffs.push_back({ m_decision->targetHash, std::min(until.value_or(reported), reported) });
     }
     ++m_withheld;
     m_context.metrics.count("placements_withheld_total");
@@ -383,6 +388,7 @@
                { "leaving", until == state::Time::max() ? "yes" : "no" },
                { "closed", until ? "yes" : "no" },
                { "region_allowed", isAllowed(*m_decision) ? "yes" : "no" },
+               { "evacuated", evacuated ? "yes" : "no" },
                { "targets_age_ms", milliseconds(now - m_decision->targetsConfirmed) },
                { "times", std::to_string(m_withheld) } });
     m_context.fleet.finished(m_id, AttemptOutcome::Abandoned, 0, now);
@@ -631,6 +637,7 @@
     const std::size_t hosts = m_context.fleet.hosts(m_context.now());
     return { entry.id,
              decision.targetHash,
+             entry.failureDomain,
              decision.targetsConfirmed,
              { entry.address, entry.port },
              coordination::entry::idleConnectionLimit(maxConnections, entry.slots, hosts) };
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <exception>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace sapphirecove::transport::entry {
@@ -201,6 +202,7 @@
         const state::Duration wait =
             m_operatorTopic.unavailable || !candidate ? state::Duration::zero() : std::min(usual, MaxCandidateWait);
         const bool waits = m_operatorTopic.next.has_value() && wait > state::Duration::zero();
+        const bool complete = !m_operatorTopic.next.has_value();
         const StorePage page = co_await read(StoreTopic::Operator, m_operatorTopic, wait);
         if (page.failure) {
             co_await sleepFor(m_operatorTopic.retryDelay);
@@ -209,7 +211,7 @@
         if (page.historyLost) {
             continue;
         }
-        applyOperator(page.records);
+        applyOperator(page.records, complete, { page.era.value_or(0), page.next });
         // A store that came back from a copy may have an older configuration than the fleet.
         m_storeOutdated = announced > knownVersion();
         if (m_storeOutdated) {
@@ -268,7 +270,8 @@
     for (const auto &[key, document] : fetched->state.records) {
         records.push_back({ key, document });
     }
-    applyOperator(records);
+    // Applied before the records count as read, whether or not they bring a newer configuration.
+    applyOperator(records, true, { fetched->state.era.value_or(0), fetched->state.next });
     if (!m_context.table || m_context.table->version() <= before) {
         co_return false;
     }
@@ -811,8 +814,15 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-void StoreFollower::applyOperator(const std::vector<StoreRecord> &records)
+/**
+ * Applies records of the operator that were read up to @p position; they are all that the store has if @p complete is
+ * true.
+ */
+void StoreFollower::applyOperator(const std::vector<StoreRecord> &records,
+                                  bool complete,
+                                  coordination::entry::TopicPosition position)
 {
+    applyEvacuations(records, complete, position);
     // Only the newest sound configuration of a page is decoded, because configurations may come in quick succession.
     // After a restore they may be written again in another order.
     const bool inOrder = !mayHoldOldRecords();
@@ -821,7 +831,8 @@
         if (!record.value) {
             continue;
         }
-        if (m_context.codec.classify(record.key) != OperatorRecord::Configuration) {
+        const OperatorRecord kind = m_context.codec.classify(record.key);
+        if (kind != OperatorRecord::Configuration) {
             provideToPeers(record);
         } else if (inOrder) {
             configurations.push_back(&record);
@@ -839,6 +850,50 @@
     }
 }
 
+/** Applies the evacuation orders in @p records and their removals; see applyOperator(). */
+void StoreFollower::applyEvacuations(const std::vector<StoreRecord> &records,
+                                     bool complete,
+                                     coordination::entry::TopicPosition position)
+{
+    // The last record of a domain holds; all of them are known at the same position.
+    std::map<std::string, bool> evacuated;
+    for (const auto &record : records) {
+        const auto domain = m_context.codec.evacuatedDomain(record.key);
+        if (!domain) {
+            continue;
+        }
+        evacuated[*domain] = record.value.has_value();
+        if (record.value && !m_context.codec.isEvacuation(*record.value)) {
+            // The key alone says what is asked for.
+            logEvent("evacuation_unreadable", { { "key", record.key }, { "offset", std::to_string(position.offset) } });
+        }
+        if (!record.value) {
+            m_operatorRecords.erase(record.key);
+            m_encodedRecords.clear();
+        }
+    }
+    auto &evacuations = m_context.scheduler.evacuations();
+    std::set<std::string, std::less<>> ordered;
+    for (const auto &[domain, isOrdered] : evacuated) {
+        if (isOrdered) {
+            ordered.insert(domain);
+        }
+        if (!evacuations.recorded(domain, isOrdered, position)) {
+            logEvent("evacuation_rejected", { { "failure_domain", domain }, { "reason", "too many failure domains" } });
+        }
+    }
+    // A copy may lack orders that are written again.
+    if (complete && !mayHoldOldRecords()) {
+        evacuations.endOthers(ordered, position);
+        std::erase_if(m_operatorRecords, [&](const auto &record) {
+            const auto domain = m_context.codec.evacuatedDomain(record.first);
+            return domain && !ordered.contains(*domain);
+        });
+        m_encodedRecords.clear();
+    }
+    m_context.fleet.decide(m_context.now());
+}
+
 /**
  * Puts a configuration in force if it is newer; returns whether it could be decoded. Other hosts must not get one that
  * this host does not use, such as that of a restored store.
--- a/src/transport/entry/storefollower.h
+++ b/src/transport/entry/storefollower.h
@@ -92,7 +92,11 @@
     void observeEra(std::optional<std::uint64_t> era);
     void adoptOffset(const protocol::OperatorState &fetched);
     void recordReadResult(StoreTopic topic, TopicState &topicState, const StorePage &page);
-    void applyOperator(const std::vector<StoreRecord> &records);
+    void
+    applyOperator(const std::vector<StoreRecord> &records, bool complete, coordination::entry::TopicPosition position);
+    void applyEvacuations(const std::vector<StoreRecord> &records,
+                          bool complete,
+                          coordination::entry::TopicPosition position);
     std::optional<bool> applyConfiguration(const StoreRecord &record);
     bool useConfiguration(const StoreRecord &record);
     void provideToPeers(const StoreRecord &record);
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -169,9 +169,8 @@
 /** Returns whether nothing may be sent any more after the time that it took to connect. */
 bool TargetAttempt::isWithheld(AttemptResult &result) const
 {
-    const state::Time now = m_context.now();
-    const bool closed = m_context.scheduler.statements().closedUntil(m_target.hash, {}, now).has_value();
-    if (!closed && !m_context.fleet.isOutdated(m_target.listConfirmed, now)) {
+    if (!m_context.fleet.isWithheld({ m_target.hash, m_target.failureDomain, m_target.listConfirmed },
+                                    m_context.now())) {
         return false;
     }
     result.outcome = AttemptOutcome::Abandoned;
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -60,6 +60,7 @@
 {
     std::string id; /**< of the incarnation */
     std::uint32_t hash = 0; /**< see TargetLoad::hash() */
+    std::string failureDomain;
     state::Time listConfirmed{}; /**< see Decision::targetsConfirmed */
     protocol::Endpoint endpoint;
     std::size_t maxIdleConnections = 1; /**< that this host keeps open to the target */
--- a/src/transport/entry/wirecodec.h
+++ b/src/transport/entry/wirecodec.h
@@ -50,7 +50,7 @@
 };
 
 /** Kind of a record in the operator's topic. */
-enum class OperatorRecord { Configuration, RolloutOrder, Unknown };
+enum class OperatorRecord { Configuration, RolloutOrder, Evacuation, Unknown };
 
 /** Encodes and decodes a deployment's requests and documents. Implemented in platform/, outside src/. */
 class WireCodec
@@ -80,6 +80,12 @@
     /** Returns the service that the rollout order or status with @p key is about; none for other keys. */
     virtual std::optional<std::string> rolloutService(std::string_view key) const = 0;
 
+    /** Returns the failure domain that the evacuation order with @p key is about; none for other keys. */
+    virtual std::optional<std::string> evacuatedDomain(std::string_view key) const = 0;
+
+    /** Returns whether @p document is that of an evacuation order. */
+    virtual bool isEvacuation(std::string_view document) const = 0;
+
     /** Returns the key of the rollout status of @p service. */
     virtual std::string rolloutKey(std::string_view service) const = 0;
 
