Pace the requests to cold targets

Ruled out: a second table beside the limits that targets state; pacing only targets that say they are cold, as they say so after up to two seconds and the bound has no grace. Change: ColdRules; targets of a service with a cold rate always have a rate, the least of several, in the pacer that limits use.

--- /dev/null
+++ b/src/coordination/entry/coldrules.cpp
@@ -0,0 +1,48 @@
+#include "coordination/entry/coldrules.h"
+
+#include "coordination/entry/ratepacer.h"
+
+#include <algorithm>
+
+namespace sapphirecove::coordination::entry {
+
+namespace {
+
+/**
+ * Share of the rule's bound that hosts use at targets that are not known to be cold. The rest covers placements of more
+ * than a second that arrive within one, as messages and connections take varying times.
+ */
+constexpr double UsedShare = 0.85;
+
+} // namespace
+
+void ColdRules::configure(const state::entry::RoutingTable &table, const state::entry::Bounds &bounds)
+{
+    m_services.clear();
+    for (const auto &service : table.services()) {
+        if (service.coldRequestsPerSecond <= 0) {
+            continue;
+        }
+        Rule rule{ { service.coldRequestsPerSecond, std::nullopt }, service.coldTime };
+        if (bounds.coldOverage > 0) {
+            const double boundInSecond = service.coldRequestsPerSecond * bounds.coldOverage + bounds.coldSlack;
+            rule.pace.warm = UsedShare * RatePacer::rateWithin(boundInSecond);
+            rule.pace.cold = std::min(rule.pace.cold, *rule.pace.warm);
+        }
+        m_services.emplace(service.name, rule);
+    }
+}
+
+std::optional<ColdPace> ColdRules::paceOf(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? std::nullopt : std::optional(found->second.pace);
+}
+
+state::Duration ColdRules::coldTimeOf(std::string_view service) const
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? state::Duration::zero() : found->second.coldTime;
+}
+
+} // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -218,7 +218,7 @@
                            std::uint32_t deciderHash,
                            state::Time now)
 {
-    m_scheduler.statements().sent(decision.targetHash, deciderHash, now);
+    m_scheduler.statements().sent(decision.targetHash, deciderHash, decision.targetLimit.has_value(), now);
     const auto tokens = m_promptTokens.find(decision.request);
     m_active[decision.request] = {
         std::string(decider), deciderHash, decision.targetHash, tokens == m_promptTokens.end() ? 0 : tokens->second
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -49,12 +49,12 @@
     std::uint32_t remainingMs = 0;
 };
 
-/** Requests that a host has sent to a target with a limit, on the decisions of one process. */
+/** Requests that a host has sent to a target with a rate, on the decisions of one process. */
 struct SentShare
 {
     std::uint32_t target = 0; /**< hash of the incarnation */
     std::uint32_t decider = 0; /**< see processHash() */
-    std::uint32_t requests = 0; /**< only grows while the host knows a limit of the target */
+    std::uint32_t requests = 0; /**< only grows while the host sends there */
 };
 
 /** What a host knows of one part of prompts, or of one request, at targets of one build; see CrashSuspects. */
--- a/src/coordination/entry/ratepacer.cpp
+++ b/src/coordination/entry/ratepacer.cpp
@@ -14,6 +14,12 @@
 
 } // namespace
 
+double RatePacer::rateWithin(double requests)
+{
+    // A second's requests, and the larger one of what was kept unused and a single request.
+    return std::min(std::max(0.0, requests - 1), requests / (1 + BurstSeconds));
+}
+
 RatePacer::RatePacer(double phase, state::Time now)
     : m_level(phase)
     , m_updated(now)
--- a/src/coordination/entry/ratepacer.h
+++ b/src/coordination/entry/ratepacer.h
@@ -13,6 +13,9 @@
 class RatePacer
 {
 public:
+    /** Returns the highest rate that lets no more than @p requests, at least 1, through in any second. */
+    static double rateWithin(double requests);
+
     /** @p phase is the fraction of a request, from 0 to less than 1, with which this process starts at @p now. */
     RatePacer(double phase, state::Time now);
 
--- a/src/coordination/entry/scheduledrequest.h
+++ b/src/coordination/entry/scheduledrequest.h
@@ -65,7 +65,7 @@
     state::entry::TargetEntry target;
     std::uint32_t targetHash = 0;
     std::uint32_t targetRunning = 0; /**< requests at the target before this one, as far as known */
-    std::optional<double> targetLimit; /**< in requests per second from all hosts, as the decider knows it */
+    std::optional<double> targetLimit; /**< in requests per second from all hosts, at which the decider paces */
     double expectedFirstMs = 0;
     state::Time targetsConfirmed{}; /**< time up to which the list that names the target is known to be complete, by the
                                        clock of the host that sends the request */
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -106,6 +106,7 @@
     , m_quotas(bounds)
     , m_retryBudget(bounds)
     , m_statements(self)
+    , m_bounds(bounds)
     , m_suspects(self)
     , m_rollouts(bounds, self)
     , m_location(std::move(location))
@@ -599,15 +600,42 @@
     return m_rollouts.evaluate(othersLoad, now);
 }
 
-void Scheduler::targetsChanged()
+void Scheduler::configureColdTargets(const state::entry::RoutingTable &table, state::Time now)
+{
+    m_coldRules.configure(table, m_bounds);
+    for (const TargetLoad *target : m_targets.all()) {
+        applyColdPace(*target, now);
+    }
+}
+
+void Scheduler::listed(const state::entry::TargetEntry &entry, state::Time now)
+{
+    if (TargetLoad *target = m_targets.find(entry.id)) {
+        target->listed(m_coldRules.coldTimeOf(entry.service), now);
+        applyColdPace(*target, now);
+    }
+}
+
+void Scheduler::applyColdPace(const TargetLoad &target, state::Time now)
+{
+    m_statements.setColdPace(target.hash(), m_coldRules.paceOf(target.entry().service), target.coldUntil(), now);
+}
+
+void Scheduler::targetsChanged(state::Time now)
 {
     m_peers.recount(m_targets);
+    m_statements.dropColdPaces([this](std::uint32_t target) {
+        return m_targets.findByHash(target) == nullptr;
+    });
+    for (const TargetLoad *target : m_targets.all()) {
+        applyColdPace(*target, now);
+    }
 }
 
 void Scheduler::expireTargets(state::Time now)
 {
     if (m_targets.expire(now)) {
-        targetsChanged();
+        targetsChanged(now);
     }
     m_statements.expire(now);
     recordRestarts(now);
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/coldrules.h"
 #include "coordination/entry/crashsuspects.h"
 #include "coordination/entry/evacuations.h"
 #include "coordination/entry/fleetretrybudget.h"
@@ -121,8 +122,14 @@
     /** Records that an attempt ended; @p events of its stream were received. */
     void finished(std::uint64_t id, AttemptOutcome outcome, std::uint32_t events, state::Time now);
 
+    /** Applies what a configuration says about cold targets. */
+    void configureColdTargets(const state::entry::RoutingTable &table, state::Time now);
+
+    /** Records that discovery has listed @p entry. */
+    void listed(const state::entry::TargetEntry &entry, state::Time now);
+
     /** Counts the load at the targets again after discovery has changed them. */
-    void targetsChanged();
+    void targetsChanged(state::Time now);
 
     /** Drops targets whose entries lapsed with the store and were not restored, and outdated statements. */
     void expireTargets(state::Time now);
@@ -187,6 +194,7 @@
     closedUntil(const TargetLoad &target, const WaitingRequest &request, state::Time now) const;
     state::Duration timeToOpen(const WaitingRequest &request, state::Time now) const;
     double slotsLeft(const WaitingRequest &request, state::Time now) const;
+    void applyColdPace(const TargetLoad &target, state::Time now);
     Decision dispatch(const WaitingRequest &request, TargetLoad &target, state::Time now);
     state::Duration expectedWait(const WaitingRequest &request, state::Time now);
     void countForRollout(const Attempt &attempt, const TargetLoad *target, AttemptOutcome outcome, state::Time now);
@@ -205,6 +213,8 @@
     QuotaTable m_quotas;
     FleetRetryBudget m_retryBudget;
     TargetStatements m_statements;
+    state::entry::Bounds m_bounds;
+    ColdRules m_coldRules;
     CrashSuspects m_suspects;
     Evacuations m_evacuations;
     std::uint64_t m_evacuationsApplied = 0; /**< Evacuations::begun() when waiting requests were last checked */
--- a/src/coordination/entry/targetload.cpp
+++ b/src/coordination/entry/targetload.cpp
@@ -68,6 +68,13 @@
     m_build = buildHash(m_entry.service, m_entry.softwareVersion);
 }
 
+void TargetLoad::listed(state::Duration coldTime, state::Time now)
+{
+    const state::Time first = m_firstListed.value_or(now);
+    m_firstListed = first;
+    m_coldUntil = m_entry.coldFor ? now + *m_entry.coldFor : first + coldTime;
+}
+
 void TargetLoad::dispatched(const Work &work)
 {
     ++m_ownRunning;
--- a/src/coordination/entry/targetload.h
+++ b/src/coordination/entry/targetload.h
@@ -5,6 +5,7 @@
 #include "state/time.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace sapphirecove::coordination::entry {
 
@@ -54,6 +55,18 @@
     /** Replaces the entry by a newer one of the same incarnation. */
     void update(state::entry::TargetEntry entry);
 
+    /**
+     * Records that discovery listed the target at @p now; it is cold for @p coldTime after the first time if its entry
+     * does not say for how long.
+     */
+    void listed(state::Duration coldTime, state::Time now);
+
+    /** Returns until when the target is cold, as far as this host knows. */
+    state::Time coldUntil() const
+    {
+        return m_coldUntil;
+    }
+
     /** Adds a request of this host. */
     void dispatched(const Work &work);
 
@@ -137,6 +150,8 @@
     Average m_failures;
     int m_consecutiveFailures = 0;
     state::Time m_ejectedUntil{};
+    std::optional<state::Time> m_firstListed;
+    state::Time m_coldUntil{};
 };
 
 } // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -25,6 +25,13 @@
 /** Time after the end of a limit from which on the target gets as much as any other. */
 constexpr state::Duration EndRamp = std::chrono::seconds(4);
 
+/** Time in which the rate doubles when a target is no longer cold, as it must not be the first choice of all at once.
+ */
+constexpr double ColdDoublingSeconds = 0.5;
+
+/** Time after coldness from which on a target of a service without a bound gets as much as any other. */
+constexpr state::Duration ColdRamp = std::chrono::seconds(2);
+
 /** Time for which hosts remember a limit after it was stated last, and its end. */
 constexpr state::Duration KeepStated = std::chrono::minutes(10);
 constexpr state::Duration KeepEnded = std::chrono::seconds(60);
@@ -64,6 +71,9 @@
 /** Most statements, and most counts, in one message, which has to fit into a datagram. */
 constexpr std::size_t MaxShared = 500;
 
+/** Time after a host's last request to a target for which it keeps their number. */
+constexpr state::Duration KeepSends = std::chrono::seconds(60);
+
 /** Time for which reports name a host's requests to a target, so that a lost report does not matter. */
 constexpr state::Duration ReportSendsFor = std::chrono::seconds(2);
 
@@ -274,6 +284,29 @@
     }
 }
 
+void TargetStatements::setColdPace(std::uint32_t target,
+                                   const std::optional<ColdPace> &pace,
+                                   state::Time coldUntil,
+                                   state::Time now)
+{
+    const auto found = m_items.find(target);
+    if (found == m_items.end() && (!pace || m_items.size() >= MaxTargets)) {
+        return;
+    }
+    Item &item = itemOf(target, now);
+    item.coldPace = pace;
+    item.coldUntil = coldUntil;
+}
+
+void TargetStatements::dropColdPaces(const std::function<bool(std::uint32_t)> &isGone)
+{
+    for (auto &[target, item] : m_items) {
+        if (item.coldPace && isGone(target)) {
+            item.coldPace.reset();
+        }
+    }
+}
+
 void TargetStatements::setShare(double share, state::Time now)
 {
     if (share > 0 && m_share <= 0) {
@@ -337,9 +370,9 @@
     }
 }
 
-void TargetStatements::sent(std::uint32_t target, std::uint32_t decider, state::Time now)
+void TargetStatements::sent(std::uint32_t target, std::uint32_t decider, bool paced, state::Time now)
 {
-    if (m_items.contains(target)) {
+    if (paced || m_items.contains(target)) {
         Sends &sends = m_sent[{ target, decider }];
         ++sends.requests;
         sends.last = now;
@@ -348,8 +381,8 @@
 
 std::optional<double> TargetStatements::rate(std::uint32_t target, state::Time now) const
 {
-    const TargetLimit *limit = find(target);
-    return limit != nullptr && isEffective(*limit, now) ? std::optional(rateOf(*limit, now)) : std::nullopt;
+    const auto found = m_items.find(target);
+    return found == m_items.end() ? std::nullopt : rateNow(found->second, now);
 }
 
 std::uint32_t TargetStatements::digest() const
@@ -424,7 +457,7 @@
     if (item.limit.revision > 0 && now - item.limit.statedAt > keepFor(item.limit)) {
         item.limit = {};
     }
-    return item.leavingSince || item.limit.revision > 0 || now < item.lastBackOffEnd + BackOffRamp;
+    return item.coldPace || item.leavingSince || item.limit.revision > 0 || now < item.lastBackOffEnd + BackOffRamp;
 }
 
 void TargetStatements::expire(state::Time now)
@@ -435,7 +468,9 @@
     const auto isForgotten = [this](const auto &entry) {
         return !m_items.contains(entry.first.first);
     };
-    std::erase_if(m_sent, isForgotten);
+    std::erase_if(m_sent, [&](const auto &entry) {
+        return isForgotten(entry) && now - entry.second.last > KeepSends;
+    });
     std::erase_if(m_peers, [now](const auto &entry) {
         return now - entry.second.reportedAt > KeepPeers;
     });
@@ -479,6 +514,13 @@
     }));
 }
 
+std::size_t TargetStatements::coldCount(state::Time now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_items.begin(), m_items.end(), [now](const auto &entry) {
+        return entry.second.coldPace && now < entry.second.coldUntil;
+    }));
+}
+
 std::size_t TargetStatements::backingOffCount(state::Time now) const
 {
     return static_cast<std::size_t>(std::count_if(m_items.begin(), m_items.end(), [now](const auto &entry) {
@@ -507,7 +549,8 @@
     if (found != m_items.end()) {
         return found->second;
     }
-    return m_items.emplace(target, Item{ {}, RatePacer(phaseOf(m_self, target), now), {}, {}, {} }).first->second;
+    return m_items.emplace(target, Item{ {}, RatePacer(phaseOf(m_self, target), now), {}, {}, {}, {}, {} })
+        .first->second;
 }
 
 /** Returns the requests per second that @p limit leaves to all hosts at @p now. */
@@ -524,13 +567,31 @@
 /** Returns the requests per second that @p item leaves to all hosts at @p now; nothing if it sets no limit. */
 std::optional<double> TargetStatements::rateNow(const Item &item, state::Time now)
 {
-    const auto limit = isEffective(item.limit, now) ? std::optional(rateOf(item.limit, now)) : std::nullopt;
+    double rate = std::numeric_limits<double>::infinity();
+    if (isEffective(item.limit, now)) {
+        rate = rateOf(item.limit, now);
+    }
     const state::Duration sinceEnd = now - item.lastBackOffEnd;
-    if (sinceEnd < state::Duration::zero() || sinceEnd >= BackOffRamp) {
-        return limit;
+    const bool backedOff = item.lastBackOffEnd != state::Time();
+    if (backedOff && sinceEnd >= state::Duration::zero() && sinceEnd < BackOffRamp) {
+        rate = std::min(rate, BackOffEndRate * std::exp2(state::toSeconds(sinceEnd) / BackOffDoublingSeconds));
+    }
+    if (item.coldPace) {
+        rate = std::min(rate, coldRate(*item.coldPace, item.coldUntil, now));
+    }
+    return std::isfinite(rate) ? std::optional(rate) : std::nullopt;
+}
+
+/** Returns the requests per second that @p pace permits at @p now; infinity for no limit. */
+double TargetStatements::coldRate(const ColdPace &pace, state::Time coldUntil, state::Time now)
+{
+    const double warm = pace.warm.value_or(std::numeric_limits<double>::infinity());
+    const state::Duration sinceCold = now - coldUntil;
+    if (sinceCold >= ColdRamp) {
+        return warm;
     }
-    const double ramp = BackOffEndRate * std::exp2(state::toSeconds(sinceEnd) / BackOffDoublingSeconds);
-    return limit ? std::min(*limit, ramp) : ramp;
+    const double doublings = state::toSeconds(std::max(sinceCold, state::Duration::zero())) / ColdDoublingSeconds;
+    return std::min(warm, pace.cold * std::exp2(doublings));
 }
 
 bool TargetStatements::isEffective(const TargetLimit &limit, state::Time now)
--- a/src/coordination/entry/targetstatements.h
+++ b/src/coordination/entry/targetstatements.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/entry/coldrules.h"
 #include "coordination/entry/peerreport.h"
 #include "coordination/entry/ratepacer.h"
 #include "coordination/entry/selfstatement.h"
@@ -7,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -64,6 +66,12 @@
     /** Processes the statements in @p report, and the requests in it that other hosts decided. */
     void peerReported(const PeerReport &report, state::Time now);
 
+    /** Sets the rates at @p target that hold beside its statements, and until when it is cold; nothing for none. */
+    void setColdPace(std::uint32_t target, const std::optional<ColdPace> &pace, state::Time coldUntil, state::Time now);
+
+    /** Drops the rates of the targets for which @p isGone returns true. */
+    void dropColdPaces(const std::function<bool(std::uint32_t)> &isGone);
+
     /** Sets the part of all limits that this host may use, from 0, while another host decides, to 1. */
     void setShare(double share, state::Time now);
 
@@ -91,16 +99,22 @@
         return m_backOffsHeard;
     }
 
-    /** Returns whether the rate at @p target, its limit or that after a back-off, permits a request now. */
+    /** Returns whether the rate at @p target permits a request now; see rate(). */
     bool mayDispatch(std::uint32_t target, state::Time now);
 
     /** Counts a request to @p target that this host has decided, for itself or for another host. */
     void dispatched(std::uint32_t target, state::Time now);
 
-    /** Counts a request that this host sends to @p target, for its reports; @p decider is who decided it. */
-    void sent(std::uint32_t target, std::uint32_t decider, state::Time now);
+    /**
+     * Counts a request that this host sends to @p target, for its reports; @p decider is who decided it. Without a
+     * statement of the target that this host knows, it counts only if @p paced: the decider sets a rate.
+     */
+    void sent(std::uint32_t target, std::uint32_t decider, bool paced, state::Time now);
 
-    /** Returns the requests per second that @p target accepts from all hosts; nothing if it states no limit. */
+    /**
+     * Returns the requests per second that @p target may get from all hosts: the least of its limit, the rise after a
+     * back-off, and its rates while it is cold or may turn cold. Nothing if there is none.
+     */
     std::optional<double> rate(std::uint32_t target, state::Time now) const;
 
     /** Returns a number that two hosts share if they know the same limits and leaving targets. */
@@ -133,6 +147,9 @@
     /** Returns the number of targets that state a limit at present. */
     std::size_t inForce() const;
 
+    /** Returns the number of targets that are known to be cold. */
+    std::size_t coldCount(state::Time now) const;
+
     /** Returns the number of targets that are leaving. */
     std::size_t leavingCount() const;
 
@@ -147,6 +164,8 @@
         std::optional<state::Time> leavingSince; /**< when it was first heard */
         state::Time backOffEnd{}; /**< for this host */
         state::Time lastBackOffEnd{}; /**< for any host, this one included */
+        std::optional<ColdPace> coldPace;
+        state::Time coldUntil{}; /**< valid with coldPace */
     };
 
     using TargetAndDecider = std::pair<std::uint32_t, std::uint32_t>;
@@ -176,12 +195,13 @@
     static std::optional<double> rateNow(const Item &item, state::Time now);
     void merge(const StatementShare &share, state::Time now);
     static double rateOf(const TargetLimit &limit, state::Time now);
+    static double coldRate(const ColdPace &pace, state::Time coldUntil, state::Time now);
     static bool isEffective(const TargetLimit &limit, state::Time now);
 
     std::uint32_t m_self;
     double m_share = 1;
     std::map<std::uint32_t, Item> m_items;
-    std::map<TargetAndDecider, Sends> m_sent; /**< by this host since a limit of the target is known */
+    std::map<TargetAndDecider, Sends> m_sent; /**< by this host since a rate of the target is known */
     std::uint32_t m_nextShared = 0; /**< where shares() goes on */
     std::map<std::string, PeerState, std::less<>> m_peers;
     std::vector<std::uint32_t> m_learned;
--- a/src/state/entry/bounds.h
+++ b/src/state/entry/bounds.h
@@ -21,6 +21,9 @@
     double quotaSlack = 0; /**< additional cost by which a quota may be exceeded in a window */
     double rolloutShare = 0.1; /**< share of a service's requests that an unproven version may get */
     double rolloutSlack = 50; /**< additional requests that it may get */
+    /** Multiple of the rate of a cold target that it may get in any second; 0 if there is no such bound. */
+    double coldOverage = 0;
+    double coldSlack = 0; /**< additional requests that it may get in a second */
 };
 
 } // namespace sapphirecove::state::entry
--- a/src/state/entry/routing.h
+++ b/src/state/entry/routing.h
@@ -56,6 +56,8 @@
     std::string name;
     std::uint32_t maxConnections = 0; /**< connections that one target accepts from all hosts together */
     bool modelEngine = false;
+    Duration coldTime{}; /**< for which a target is cold after its start */
+    double coldRequestsPerSecond = 0; /**< that a cold target bears from all hosts; 0 if targets are never cold */
 };
 
 /** Customer of the deployment. */
@@ -111,6 +113,11 @@
         return m_customers;
     }
 
+    const std::vector<Service> &services() const
+    {
+        return m_services;
+    }
+
     const std::vector<Route> &routes() const
     {
         return m_routes;
--- a/src/state/entry/targetentry.h
+++ b/src/state/entry/targetentry.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "state/time.h"
+
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace sapphirecove::state::entry {
@@ -17,6 +20,7 @@
     std::uint32_t slots = 1; /**< requests that it processes at once */
     std::int64_t startedUnixMs = 0; /**< start of the process, by its own clock; differs for each incarnation */
     bool draining = false;
+    std::optional<Duration> coldFor; /**< time for which it stays cold; 0 if it is not, nothing if it does not say */
 };
 
 /** Order to move a service to another software version. */
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -5,6 +5,7 @@
 #include "protocol/partevidencecodec.h"
 #include "protocol/quotausecodec.h"
 #include "transport/entry/exchange.h"
+#include "transport/entry/format.h"
 #include "transport/log.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -932,6 +933,7 @@
             }
             const bool usageKnown = m_context.settings.firstStart || m_context.table;
             m_context.scheduler.quotas().configure(table, usageKnown, m_context.now());
+            m_context.scheduler.configureColdTargets(table, m_context.now());
             logEvent("configuration_in_force",
                      { { "version", std::to_string(table.version()) },
                        { "before", std::to_string(before) },
@@ -1020,6 +1022,10 @@
                     return state::fail("target.check", record.key, "address of a host of this deployment");
                 }
                 const auto *before = targets.find(entry.id);
+                const bool wasCold = before != nullptr && now < before->coldUntil();
+                if (entry.coldFor.value_or(state::Duration::zero()) > state::Duration::zero() && !wasCold) {
+                    logEvent("target_cold", { { "target", entry.id }, { "cold_ms", milliseconds(*entry.coldFor) } });
+                }
                 if (before == nullptr || before->entry().draining != entry.draining
                     || before->entry().startedUnixMs != entry.startedUnixMs) {
                     logEvent("target_listed",
@@ -1033,6 +1039,7 @@
                 } else {
                     targets.listed(entry);
                 }
+                m_context.scheduler.listed(entry, now);
                 listed.push_back(entry.id);
                 return {};
             },
@@ -1045,7 +1052,7 @@
     if (complete) {
         targets.retainOnly(listed, storeWasUnavailable, now);
     }
-    m_context.scheduler.targetsChanged();
+    m_context.scheduler.targetsChanged(now);
     m_context.fleet.decide(now);
 }
 
--- a/tests/coordination/entry/rolloutsimulation.cpp
+++ b/tests/coordination/entry/rolloutsimulation.cpp
@@ -98,7 +98,7 @@
         m_active = 1;
         auto &scheduler = *active().scheduler;
         scheduler.peers().expire(scheduler.targets(), now + PeerTable::LiveFor + PeerTable::LiveFor);
-        scheduler.targetsChanged();
+        scheduler.targetsChanged(now);
     }
 
     void report(state::Time now)
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -40,16 +40,19 @@
         : fleetOwner(owner)
         , number(hostNumber)
         , process{ nameOf(hostNumber), ++owner.m_lastIncarnation, "10.0.0.1", 1 }
-        , scheduler(makeSchedulerOf(process))
+        , scheduler(makeSchedulerOf(process, owner.m_options.coldRate > 0))
         , fleet(*scheduler, process, regionOf(hostNumber), *this)
     {
     }
 
-    static std::unique_ptr<Scheduler> makeSchedulerOf(const HostProcess &process)
+    static std::unique_ptr<Scheduler> makeSchedulerOf(const HostProcess &process, bool boundsColdTargets)
     {
+        state::entry::Bounds bounds;
+        bounds.coldOverage = boundsColdTargets ? 1.5 : 0;
+        bounds.coldSlack = boundsColdTargets ? 5 : 0;
         return state::handleFailure(
             [&] {
-                return Scheduler::create({},
+                return Scheduler::create(bounds,
                                          { "osu", "accra", { { "osu", "accra" }, { "adum", "kumasi" } } },
                                          processHash(process.host, process.incarnation));
             },
@@ -135,10 +138,11 @@
         }
     }
     for (int i = 0; i < m_options.targets; ++i) {
-        auto entry = makeTarget("t" + std::to_string(i), m_options.slots);
-        entry.startedUnixMs += m_starts[entry.id];
+        const auto entry = entryOf("t" + std::to_string(i));
         simulatedHost.scheduler->targets().listed(entry);
+        simulatedHost.scheduler->listed(entry, m_now);
     }
+    simulatedHost.scheduler->configureColdTargets(configuration(), m_now);
     if (m_options.quotaRate > 0) {
         simulatedHost.scheduler->quotas().configure(makeQuota("c", m_options.quotaRate, 0), true, m_now);
     }
@@ -147,6 +151,46 @@
 
 SimulatedFleet::~SimulatedFleet() = default;
 
+state::entry::TargetEntry SimulatedFleet::entryOf(const std::string &target) const
+{
+    auto entry = makeTarget(target, m_options.slots);
+    const auto restarts = m_starts.find(target);
+    entry.startedUnixMs += restarts == m_starts.end() ? 0 : restarts->second;
+    const bool isOdd = std::stoi(target.substr(1)) % 2 != 0;
+    entry.failureDomain = m_options.twoRegions && isOdd ? "adum" : "osu";
+    entry.coldFor = state::Duration::zero();
+    return entry;
+}
+
+state::entry::RoutingTable SimulatedFleet::configuration() const
+{
+    state::entry::Service service;
+    service.name = "llm";
+    service.coldTime = ColdTime;
+    service.coldRequestsPerSecond = m_options.coldRate;
+    return state::entry::RoutingTable::create(1, {}, { service }, {}, {});
+}
+
+void SimulatedFleet::setEvacuated(const std::string &domain, bool evacuated)
+{
+    m_evacuations[domain] = evacuated;
+    ++m_operatorRecords;
+}
+
+void SimulatedFleet::makeCold(const std::string &target)
+{
+    m_events.emplace(m_now + ColdListed, [this, target] {
+        auto entry = entryOf(target);
+        entry.coldFor = ColdTime - ColdListed;
+        for (auto &simulatedHost : m_hosts) {
+            if (simulatedHost->alive && simulatedHost->discovers) {
+                simulatedHost->scheduler->targets().listed(entry);
+                simulatedHost->scheduler->listed(entry, m_now);
+            }
+        }
+    });
+}
+
 void SimulatedFleet::runUntil(state::Time end)
 {
     while (m_now < end) {
@@ -189,9 +233,11 @@
     if (!simulatedHost.regainedAt) {
         simulatedHost.regainedAt = m_now;
     }
+    for (const auto &[domain, evacuated] : m_evacuations) {
+        simulatedHost.scheduler->evacuations().recorded(domain, evacuated, { 1, m_operatorRecords });
+    }
     for (const auto &[target, since] : m_draining) {
-        auto entry = makeTarget(target, m_options.slots);
-        entry.startedUnixMs += m_starts[target];
+        auto entry = entryOf(target);
         entry.draining = true;
         simulatedHost.scheduler->targets().listed(entry);
     }
@@ -284,6 +330,9 @@
         return;
     }
     const std::string target = decision.target.id;
+    const bool allowed = m_hosts[static_cast<std::size_t>(host)]->scheduler->regionRules().allows(
+        m_requests[id].allowedRegions, entryOf(target).failureDomain);
+    m_outsideRegions += allowed ? 0 : 1;
     const auto &parts = m_parts[id];
     const bool isDeadly = std::any_of(parts.begin(), parts.end(), [this](std::uint64_t part) {
         return m_deadlyParts.contains(part);
@@ -325,10 +374,13 @@
 {
     const SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
     const auto until = simulatedHost.scheduler->statements().closedUntil(decision.targetHash, {}, m_now);
-    if (!until && !simulatedHost.fleet.isOutdated(decision.targetsConfirmed, m_now)) {
+    const std::uint64_t id = decision.request;
+    const PlacedTarget target{ decision.targetHash, decision.target.failureDomain, decision.targetsConfirmed };
+    const bool allowed =
+        simulatedHost.scheduler->regionRules().allows(m_requests[id].allowedRegions, target.failureDomain);
+    if (allowed && !simulatedHost.fleet.isWithheld(target, m_now)) {
         return false;
     }
-    const std::uint64_t id = decision.request;
     ScheduledRequest again = m_requests[id];
     if (until) {
         const auto heard = m_heard.find({ host, decision.targetHash });
@@ -414,11 +466,12 @@
 /** Tells all hosts of the present incarnation of @p target. */
 void SimulatedFleet::relist(const std::string &target)
 {
-    auto entry = makeTarget(target, m_options.slots);
-    entry.startedUnixMs += m_starts[target];
+    auto entry = entryOf(target);
+    entry.coldFor = m_options.coldRate > 0 ? ColdTime : state::Duration::zero();
     for (auto &simulatedHost : m_hosts) {
         simulatedHost->scheduler->targets().listed(entry);
-        simulatedHost->scheduler->targetsChanged();
+        simulatedHost->scheduler->listed(entry, m_now);
+        simulatedHost->scheduler->targetsChanged(m_now);
     }
 }
 
--- a/tests/coordination/entry/simulatedfleet.h
+++ b/tests/coordination/entry/simulatedfleet.h
@@ -28,6 +28,8 @@
         double loss = 0; /**< share of messages that are lost */
         std::uint32_t seed = 1;
         double quotaRate = 0; /**< of the customer "c", in cost per second; 0 for no quota */
+        bool twoRegions = false; /**< every second target lies in "adum" in the region "kumasi" */
+        double coldRate = 0; /**< requests per second that a cold target bears; 0 if targets are never cold */
     };
 
     explicit SimulatedFleet(const Options &options);
@@ -61,6 +63,22 @@
      */
     void setClosing(const std::string &target, bool leaving, state::Duration backOff, std::set<int> hearers);
 
+    /** Makes the store hold an order to evacuate @p domain from now on, or none any more. */
+    void setEvacuated(const std::string &domain, bool evacuated);
+
+    /** Makes @p target cold for ColdTime, which discovery lists after ColdListed. */
+    void makeCold(const std::string &target);
+
+    /** Time for which targets are cold after their start, and from the beginning of coldness to the entry about it. */
+    static constexpr state::Duration ColdTime = std::chrono::seconds(3);
+    static constexpr state::Duration ColdListed = std::chrono::milliseconds(1600);
+
+    /** Number of requests that reached a target outside of their allowed regions. */
+    int outsideRegions() const
+    {
+        return m_outsideRegions;
+    }
+
     /** Makes targets crash when they begin to answer a request with one of @p parts of a prompt. */
     void setDeadlyParts(std::set<std::uint64_t> parts);
 
@@ -190,6 +208,8 @@
     void tellClosing(int host, const Decision &decision);
     void ended(int host, std::uint64_t id, AttemptOutcome outcome);
     void relist(const std::string &target);
+    state::entry::TargetEntry entryOf(const std::string &target) const;
+    state::entry::RoutingTable configuration() const;
     void report(int host);
     void readTargets(SimulatedHost &simulatedHost);
 
@@ -211,6 +231,9 @@
     std::vector<state::Time> m_deadlyCrashes;
     std::vector<state::Time> m_deadlyArrivals;
     std::map<std::string, RateStatement> m_statements;
+    std::map<std::string, bool> m_evacuations; /**< orders that the store held, and whether it still does */
+    std::uint64_t m_operatorRecords = 0; /**< in the store */
+    int m_outsideRegions = 0;
     std::map<std::string, Closing> m_closing;
     std::set<std::string> m_removed; /**< which discovery no longer lists */
     std::map<std::string, state::Time> m_draining; /**< when discovery has listed them so */
