--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -381,6 +381,7 @@
     if (allowed && !simulatedHost.fleet.isWithheld(target, m_now)) {
         return false;
     }
+    m_withheldOutsideRegions += allowed ? 0 : 1;
     ScheduledRequest again = m_requests[id];
     if (until) {
         const auto heard = m_heard.find({ host, decision.targetHash });
--- a/tests/coordination/entry/simulatedfleet.h
+++ b/tests/coordination/entry/simulatedfleet.h
@@ -79,6 +79,12 @@
         return m_outsideRegions;
     }
 
+    /** Number of placements outside of the allowed regions of their requests, which the hosts did not use. */
+    int withheldOutsideRegions() const
+    {
+        return m_withheldOutsideRegions;
+    }
+
     /** Makes targets crash when they begin to answer a request with one of @p parts of a prompt. */
     void setDeadlyParts(std::set<std::uint64_t> parts);
 
@@ -234,6 +240,7 @@
     std::map<std::string, bool> m_evacuations; /**< orders that the store held, and whether it still does */
     std::uint64_t m_operatorRecords = 0; /**< in the store */
     int m_outsideRegions = 0;
+    int m_withheldOutsideRegions = 0;
     std::map<std::string, Closing> m_closing;
     std::set<std::string> m_removed; /**< which discovery no longer lists */
     std::map<std::string, state::Time> m_draining; /**< when discovery has listed them so */
