Leave room for a second decider in the rates of cold targets

Cause: two deciders that go on beside each other together exceed the bound of a cold target (up to 26 requests in a second, bound 20, in the random schedules). Ruled out: smaller shares for each host, which leave most of the rate unused. Change: a shorter burst, a smaller share of the bound, and a part of the rate only for a host that has just begun to decide.

--- a/src/coordination/entry/coldrules.cpp
+++ b/src/coordination/entry/coldrules.cpp
@@ -9,10 +9,11 @@
 namespace {
 
 /**
- * Share of the rule's bound that hosts use at targets that are not known to be cold. The rest covers placements of more
- * than a second that arrive within one, as messages and connections take varying times.
+ * Share of the rule's bound that hosts use at targets that are not known to be cold. The rest covers what a second
+ * decider places before the reports of a change have arrived, and placements of more than a second that arrive within
+ * one.
  */
-constexpr double UsedShare = 0.85;
+constexpr double UsedShare = 0.7;
 
 } // namespace
 
@@ -26,7 +27,7 @@
         Rule rule{ { service.coldRequestsPerSecond, std::nullopt }, service.coldTime };
         if (bounds.coldOverage > 0) {
             const double boundInSecond = service.coldRequestsPerSecond * bounds.coldOverage + bounds.coldSlack;
-            rule.pace.warm = UsedShare * RatePacer::rateWithin(boundInSecond);
+            rule.pace.warm = UsedShare * RatePacer::rateWithin(boundInSecond, ColdPace::BurstSeconds);
             rule.pace.cold = std::min(rule.pace.cold, *rule.pace.warm);
         }
         m_services.emplace(service.name, rule);
--- a/src/coordination/entry/coldrules.h
+++ b/src/coordination/entry/coldrules.h
@@ -18,6 +18,9 @@
     /** At any other time: what a target bears that turns cold before any host knows; nothing for no limit. */
     std::optional<double> warm;
 
+    /** Time for which unused requests are kept at these rates. */
+    static constexpr double BurstSeconds = 0.2;
+
     friend bool operator==(const ColdPace &, const ColdPace &) = default;
 };
 
--- a/src/coordination/entry/ratepacer.cpp
+++ b/src/coordination/entry/ratepacer.cpp
@@ -6,18 +6,15 @@
 
 namespace {
 
-/** Time for which unused requests are kept; short, so that a target gets no bursts. */
-constexpr double BurstSeconds = 0.5;
-
 /** Time for which requests that others sent beyond the rate are remembered. */
 constexpr double DebtSeconds = 4;
 
 } // namespace
 
-double RatePacer::rateWithin(double requests)
+double RatePacer::rateWithin(double requests, double burstSeconds)
 {
     // A second's requests, and the larger one of what was kept unused and a single request.
-    return std::min(std::max(0.0, requests - 1), requests / (1 + BurstSeconds));
+    return std::min(std::max(0.0, requests - 1), requests / (1 + burstSeconds));
 }
 
 RatePacer::RatePacer(double phase, state::Time now)
@@ -31,10 +28,10 @@
     m_updated = std::max(m_updated, now);
 }
 
-void RatePacer::refill(double rate, state::Time now)
+void RatePacer::refill(double rate, state::Time now, double burstSeconds)
 {
     m_level += rate * std::max(0.0, state::toSeconds(now - m_updated));
-    m_level = std::min(m_level, std::max(1.0, rate * BurstSeconds));
+    m_level = std::min(m_level, std::max(1.0, rate * burstSeconds));
     skip(now);
 }
 
--- a/src/coordination/entry/ratepacer.h
+++ b/src/coordination/entry/ratepacer.h
@@ -13,8 +13,14 @@
 class RatePacer
 {
 public:
-    /** Returns the highest rate that lets no more than @p requests, at least 1, through in any second. */
-    static double rateWithin(double requests);
+    /** Time for which unused requests are kept; short, so that a target gets no bursts. */
+    static constexpr double UsualBurstSeconds = 0.5;
+
+    /**
+     * Returns the highest rate that lets no more than @p requests, at least 1, through in any second if those unused in
+     * @p burstSeconds are kept.
+     */
+    static double rateWithin(double requests, double burstSeconds);
 
     /** @p phase is the fraction of a request, from 0 to less than 1, with which this process starts at @p now. */
     RatePacer(double phase, state::Time now);
@@ -22,8 +28,8 @@
     /** Advances to @p now without adding requests, since others were in charge of the rate. */
     void skip(state::Time now);
 
-    /** Advances to @p now at @p rate requests per second since the last call. */
-    void refill(double rate, state::Time now);
+    /** Advances to @p now at @p rate requests per second since the last call; keeps those unused in @p burstSeconds. */
+    void refill(double rate, state::Time now, double burstSeconds = UsualBurstSeconds);
 
     /** Returns whether a request may be sent; valid after refill(). */
     bool ready() const;
--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -32,6 +32,13 @@
 /** Time after coldness from which on a target of a service without a bound gets as much as any other. */
 constexpr state::Duration ColdRamp = std::chrono::seconds(2);
 
+/**
+ * Time for which a host that has just begun to decide uses a part of the rates of cold targets only, as the one before
+ * may go on for some hosts until it hears of the change.
+ */
+constexpr state::Duration HandOverTime = std::chrono::seconds(1);
+constexpr double HandOverShare = 0.5;
+
 /** Time for which hosts remember a limit after it was stated last, and its end. */
 constexpr state::Duration KeepStated = std::chrono::minutes(10);
 constexpr state::Duration KeepEnded = std::chrono::seconds(60);
@@ -310,6 +317,7 @@
 void TargetStatements::setShare(double share, state::Time now)
 {
     if (share > 0 && m_share <= 0) {
+        m_inChargeSince = now;
         for (auto &[target, item] : m_items) {
             item.pacer.skip(now);
         }
@@ -357,7 +365,13 @@
     if (!rate) {
         return true;
     }
-    found->second.pacer.refill(*rate * m_share, now);
+    Item &item = found->second;
+    if (!item.coldPace) {
+        item.pacer.refill(*rate * m_share, now);
+        return item.pacer.ready();
+    }
+    const double share = now - m_inChargeSince < HandOverTime ? m_share * HandOverShare : m_share;
+    item.pacer.refill(*rate * share, now, ColdPace::BurstSeconds);
     return found->second.pacer.ready();
 }
 
