--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <memory>
+#include <span>
 
 namespace sapphirecove::integration {
 
@@ -49,6 +50,11 @@
     {
         return m_hostPorts.at(3 * index);
     }
+    /** Ports of the listeners for callers, for operators and for other hosts. */
+    std::span<const std::uint16_t> ports(std::size_t index) const
+    {
+        return std::span(m_hostPorts).subspan(3 * index, 3);
+    }
     bool isReady(std::size_t index) const;
     bool waitReady(std::size_t index) const;
 
--- a/tests/integration/process.h
+++ b/tests/integration/process.h
@@ -26,6 +26,10 @@
     {
         return m_name;
     }
+    pid_t pid() const
+    {
+        return m_pid;
+    }
     bool isRunning();
     void signal(int number);
     /** Sends SIGKILL and waits for the process to exit. */
