Bound what connections keep while they wait for an end

Cause: the buffer of a connection had no limit of its own, so that a parser kept whatever it had not seen the end of; neither the limit of the header nor that of the body counts trailers or lines of chunks. Ruled out: rejecting trailers, as the next form would be found by the next caller; a limit for each connection only, as there are thousands. Change: the buffer holds a header and 16 KiB; all that requests keep, from their first byte until they are answered, counts against the budget of the process; the HTTP listeners have one, too.

--- a/src/transport/entry/callersession.cpp
+++ b/src/transport/entry/callersession.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
@@ -30,6 +29,9 @@
 /** Retry-After of a request that was given up as the bodies of all requests took too much memory. */
 constexpr state::Duration BodyRetryAfter = std::chrono::seconds(1);
 
+/** Largest buffer that a connection keeps while it is idle or served; there may be thousands of them. */
+constexpr std::size_t IdleBufferBytes = 4096;
+
 /** Bytes that are peeked at, only to tell a closed connection from a further request. */
 constexpr std::size_t PeekBytes = 1;
 
@@ -86,7 +88,7 @@
 
 asio::awaitable<std::optional<Request>> CallerSession::readRequest()
 {
-    Parser parser;
+    BoundedParser parser;
     boost::system::error_code error;
     m_requestBytes.reset();
     setReadDeadline(ReadPhase::FirstByte, currentLimits().idleTimeout);
@@ -98,9 +100,13 @@
         const state::entry::CallerLimits limits = currentLimits();
         parser.header_limit(limits.maxHeaderBytes);
         parser.body_limit(limits.maxBodyBytes);
+        limitUnparsed(m_buffer, limits.maxHeaderBytes);
         setReadDeadline(ReadPhase::Header, limits.headerTimeout);
         m_receiving = true;
-        co_await http::async_read_header(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        m_requestBytes.emplace(m_context.requestBytes, [this] {
+            cancelRead();
+        });
+        error = co_await readHeader(m_socket, m_buffer, parser, *m_requestBytes);
     }
     if (!error && !hasClearFraming(parser.get())) {
         error = http::error::bad_transfer_encoding;
@@ -112,9 +118,15 @@
             co_await http::async_write(m_socket, continueResponse, asio::redirect_error(asio::use_awaitable, error));
         }
         if (!error) {
-            error = co_await readBody(parser);
+            error = co_await readRest(m_socket, m_buffer, parser, *m_requestBytes);
         }
     }
+    if (m_requestBytes) {
+        m_requestBytes->complete();
+    }
+    if (m_buffer.size() == 0 && m_buffer.capacity() > IdleBufferBytes) {
+        m_buffer.shrink_to_fit();
+    }
     m_readDeadline.reset();
     const bool tooSlow = m_readTimedOut && m_receiving;
     m_receiving = false;
@@ -126,23 +138,6 @@
     co_return parser.release();
 }
 
-/** Reads the body of a request. Its bytes count as long as the request is served. */
-asio::awaitable<boost::system::error_code> CallerSession::readBody(Parser &parser)
-{
-    m_requestBytes.emplace(m_context.requestBytes, [this] {
-        cancelRead();
-    });
-    boost::system::error_code error;
-    while (!error && !parser.is_done()) {
-        co_await http::async_read_some(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-        if (!m_requestBytes->resize(parser.get().body().size())) {
-            error = asio::error::no_buffer_space;
-        }
-    }
-    m_requestBytes->complete();
-    co_return error;
-}
-
 /** Returns the limits of the configuration in force. */
 state::entry::CallerLimits CallerSession::currentLimits() const
 {
@@ -170,7 +165,7 @@
         m_context.metrics.count("requests_given_up_total");
     } else if (tooSlow) {
         status = http::status::request_timeout;
-    } else if (error == http::error::header_limit) {
+    } else if (error == http::error::header_limit || error == http::error::buffer_overflow) {
         status = http::status::request_header_fields_too_large;
     } else if (error == http::error::body_limit) {
         status = http::status::payload_too_large;
--- a/src/transport/entry/callersession.h
+++ b/src/transport/entry/callersession.h
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "transport/boundedread.h"
 #include "transport/entry/exchange.h"
 #include "transport/entry/servingcontext.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <memory>
 #include <optional>
@@ -36,15 +36,12 @@
     void closeIfIdle();
 
 private:
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
     /** What the connection waits for while it reads. */
     enum class ReadPhase { FirstByte, Header, Body };
 
     static std::string_view nameOf(ReadPhase phase);
     boost::asio::awaitable<void> serve();
     boost::asio::awaitable<std::optional<Request>> readRequest();
-    boost::asio::awaitable<boost::system::error_code> readBody(Parser &parser);
     boost::asio::awaitable<void> rejectRequest(const boost::system::error_code &error, bool tooSlow);
     void watchForDisconnect();
     state::entry::CallerLimits currentLimits() const;
@@ -57,7 +54,7 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Exchange> m_exchange;
-    std::optional<ByteBudget::Share> m_requestBytes; /**< of the body of the request that is received or served */
+    std::optional<ByteBudget::Share> m_requestBytes; /**< of the request that is received or served */
     std::optional<state::Time> m_readDeadline;
     ReadPhase m_readPhase = ReadPhase::FirstByte;
     state::Time m_readPhaseSince{};
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "transport/httpserver.h"
 
 #include "transport/beaststring.h"
+#include "transport/boundedread.h"
 #include "transport/countguard.h"
 #include "transport/messageframing.h"
 #include "transport/sockets.h"
@@ -12,7 +13,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <utility>
@@ -34,6 +34,7 @@
     : m_listener(std::move(listener))
     , m_limits(limits)
     , m_handler(std::move(handler))
+    , m_bytes(std::make_shared<ByteBudget>(limits.memoryBytes))
 {
 }
 
@@ -51,14 +52,19 @@
 asio::awaitable<void> HttpServer::serve(tcp::socket socket)
 {
     const CountGuard guard(m_connections);
-    beast::flat_buffer buffer(m_limits.headerBytes + m_limits.bodyBytes);
+    beast::flat_buffer buffer;
+    limitUnparsed(buffer, m_limits.headerBytes);
     Watchdog watchdog(socket.get_executor(), [&socket] {
         boost::system::error_code ignored;
         socket.close(ignored);
     });
     boost::system::error_code error;
     for (;;) {
-        http::request_parser<http::string_body> parser;
+        BoundedParser parser;
+        ByteBudget::Share share(m_bytes, [&socket] {
+            boost::system::error_code ignored;
+            socket.close(ignored);
+        });
         parser.header_limit(m_limits.headerBytes);
         parser.body_limit(m_limits.bodyBytes);
         if (buffer.size() == 0) {
@@ -66,10 +72,14 @@
             co_await socket.async_wait(tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
         }
         watchdog.arm(m_limits.receiveTimeout);
-        co_await http::async_read(socket, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        error = co_await readHeader(socket, buffer, parser, share);
+        if (!error) {
+            error = co_await readRest(socket, buffer, parser, share);
+        }
         if (error) {
             co_return;
         }
+        share.complete();
         watchdog.disarm();
         const HttpRequest request = parser.release();
         if (!hasClearFraming(request)) {
--- a/src/transport/httpserver.h
+++ b/src/transport/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/time.h"
+#include "transport/bytebudget.h"
 #include "transport/listener.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -26,6 +27,8 @@
     std::size_t connections = 1024;
     std::uint32_t headerBytes = 16384;
     std::uint64_t bodyBytes = std::uint64_t{ 64 } * 1024 * 1024;
+    /** That the requests of all connections may keep together; the largest one that is not whole is given up. */
+    std::size_t memoryBytes = std::size_t{ 64 } * 1024 * 1024;
     state::Duration receiveTimeout = std::chrono::seconds(10); /**< for one whole request */
     state::Duration idleTimeout = std::chrono::seconds(60); /**< between two requests */
 };
@@ -54,6 +57,7 @@
     HttpServerLimits m_limits;
     Handler m_handler;
     std::shared_ptr<std::size_t> m_connections = std::make_shared<std::size_t>(0);
+    std::shared_ptr<ByteBudget> m_bytes;
 };
 
 /** Creates a response to @p request with a body. */
