Start slowly after a restart where targets may be cold

Cause: a decider that restarted used the whole rates at once, beside the host that had taken over meanwhile. Change: the first rates of a process count as the beginning of its time as decider.

--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -300,6 +300,12 @@
     if (found == m_items.end() && (!pace || m_items.size() >= MaxTargets)) {
         return;
     }
+    const bool isFirst = pace && std::none_of(m_items.begin(), m_items.end(), [](const auto &entry) {
+                             return entry.second.coldPace.has_value();
+                         });
+    if (isFirst) {
+        m_inChargeSince = now; // A process that has just started may take over from another one.
+    }
     Item &item = itemOf(target, now);
     item.coldPace = pace;
     item.coldUntil = coldUntil;
