Mend what the review of homes, evacuation, cold targets, quota and callers found

- A host that does not decide counted all that others had sent as a debt, and would have stopped the service for seconds after it took over.
- A host that knows only a restored copy ended evacuations of the era before; records from another host that are older than the own ones changed what is passed on; a removal of an unknown order was forgotten; keys without a name were ignored without a line.
- A charge was given back although none was made, or after it had left the window; one net sum hid charges behind returns.
Reports now name both sums.
- A request whose regions are full held up others of its route: each set of regions waits in a queue of its own (found by a test).
- Listeners for other hosts kept buffers of idle connections; a request given up while 100-continue was written got no answer.

--- a/src/coordination/entry/coldrules.cpp
+++ b/src/coordination/entry/coldrules.cpp
@@ -15,6 +15,9 @@
  */
 constexpr double UsedShare = 0.7;
 
+/** Lowest rate in requests per second, so that a bound below one request does not take the service away. */
+constexpr double MinRate = 0.25;
+
 } // namespace
 
 void ColdRules::configure(const state::entry::RoutingTable &table, const state::entry::Bounds &bounds)
@@ -27,7 +30,8 @@
         Rule rule{ { service.coldRequestsPerSecond, std::nullopt }, service.coldTime };
         if (bounds.coldOverage > 0) {
             const double boundInSecond = service.coldRequestsPerSecond * bounds.coldOverage + bounds.coldSlack;
-            rule.pace.warm = UsedShare * RatePacer::rateWithin(boundInSecond, ColdPace::BurstSeconds);
+            rule.pace.warm =
+                std::max(MinRate, UsedShare * RatePacer::rateWithin(boundInSecond, ColdPace::BurstSeconds));
             rule.pace.cold = std::min(rule.pace.cold, *rule.pace.warm);
         }
         m_services.emplace(service.name, rule);
--- a/src/coordination/entry/evacuations.cpp
+++ b/src/coordination/entry/evacuations.cpp
@@ -15,10 +15,6 @@
 
 bool Evacuations::recorded(std::string_view domain, bool evacuated, TopicPosition position)
 {
-    const bool known = m_domains.contains(domain);
-    if (!known && !evacuated) {
-        return true; // No order was in force.
-    }
     const std::uint32_t before = m_digest;
     const bool remembered = update(domain, { evacuated, position }, false);
     m_urgent = m_urgent || before != m_digest;
@@ -29,7 +25,9 @@
 {
     std::vector<std::string> ended;
     for (const auto &[domain, item] : m_domains) {
-        if (item.evacuated && !domains.contains(domain)) {
+        // A copy of the store may lack orders of an earlier era, which are written again.
+        const bool sameEra = item.position.era == position.era;
+        if (item.evacuated && sameEra && !domains.contains(domain)) {
             ended.push_back(domain);
         }
     }
--- a/src/coordination/entry/evacuations.h
+++ b/src/coordination/entry/evacuations.h
@@ -48,7 +48,10 @@
      */
     bool recorded(std::string_view domain, bool evacuated, TopicPosition position);
 
-    /** Ends all evacuations but those of @p domains, as the store held no others at @p position. */
+    /**
+     * Ends all evacuations but those of @p domains, as the store held no others at @p position. Those that were ordered
+     * in another era stay until a record says otherwise.
+     */
     void endOthers(const std::set<std::string, std::less<>> &domains, TopicPosition position);
 
     /** Processes what another host knows. */
--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -55,7 +55,7 @@
 void FleetScheduler::withdraw(std::uint64_t id, state::Time now)
 {
     m_promptTokens.erase(id);
-    m_scheduler.withdraw(id);
+    m_scheduler.withdraw(id, now);
     if (const auto decider = m_pendingDecisions.remove(id)) {
         sendUpdate(*decider, id, AttemptUpdate::Kind::Withdrawn);
     }
@@ -99,7 +99,7 @@
     const auto decider = m_directory.decider(now);
     const bool otherQualified = !qualified(now) && decider && *decider != m_self.host;
     if (!canDecide(now) || otherQualified) {
-        m_link.send(m_remoteRequests.decline(message));
+        m_link.send(m_remoteRequests.decline(message, now));
         return;
     }
     m_link.send(m_remoteRequests.handleRequest(message, FirstRemoteId + ++m_lastRemoteId, now));
@@ -231,7 +231,7 @@
     if (m_lastTick == state::Time() || now - m_lastTick <= PauseGap) {
         return;
     }
-    m_remoteRequests.dropWaiting();
+    m_remoteRequests.dropWaiting(now);
     m_lastTick = now;
     m_pausedUntil = now + PauseRecovery;
     m_directory.setSelf(false, false);
--- a/src/coordination/entry/peerreport.h
+++ b/src/coordination/entry/peerreport.h
@@ -26,10 +26,17 @@
 struct QuotaShare
 {
     std::uint32_t customer = 0; /**< hash of the name */
-    double admitted = 0; /**< since the host started, less what was given back */
+    double admitted = 0; /**< since the host started */
     float usedInWindow = 0; /**< by all hosts, as the sender sees it */
 };
 
+/** Cost that a host has admitted for one customer and given back, as the requests were never sent. */
+struct QuotaReturn
+{
+    std::uint32_t customer = 0; /**< hash of the name */
+    double givenBack = 0; /**< since the host started */
+};
+
 /** What a target has stated about itself, as the sender knows it; see TargetStatements. */
 struct StatementShare
 {
@@ -121,6 +128,7 @@
     std::vector<TargetShare> targets;
     std::vector<ActiveRequest> active;
     std::vector<QuotaShare> quotas;
+    std::vector<QuotaReturn> quotaReturns;
     std::vector<RolloutShare> rollouts;
     std::vector<VersionShare> versions;
     std::uint32_t statementsDigest = 0; /**< of all that the sender knows, see TargetStatements::digest() */
--- a/src/coordination/entry/quotatable.cpp
+++ b/src/coordination/entry/quotatable.cpp
@@ -27,6 +27,9 @@
 /** Interval at which the usage is stored while little is used; a small part of the window. */
 constexpr state::Duration StoreInterval = std::chrono::milliseconds(1000);
 
+/** Time before the end of the window from which on nothing is given back, so that peers still count the charge. */
+constexpr state::Duration ReturnMargin = std::chrono::milliseconds(1500);
+
 /** Limits of the Retry-After time for a customer over its quota. */
 constexpr state::Duration MinRetryAfter = std::chrono::milliseconds(200);
 constexpr state::Duration MaxRetryAfter = std::chrono::seconds(5);
@@ -71,6 +74,7 @@
     PeerUse &use = m_peers[report.host];
     if (use.incarnation != report.incarnation) {
         use.admitted.clear();
+        use.givenBack.clear();
         use.incarnation = report.incarnation;
         use.knownSince = now;
     }
@@ -97,9 +101,22 @@
         } else if (grown > 0) {
             account.used.add(grown, now);
             account.sinceStored += grown;
-        } else if (grown < 0 && now - use.knownSince > m_window) {
-            // Given back by the peer. Before, the charge may be one that this host has not counted.
-            account.used.takeBack(-grown);
+        }
+    }
+    peerGaveBack(report, use, now);
+}
+
+/** Takes off what the peer has given back since its last report, if this host has counted the charges. */
+void QuotaTable::peerGaveBack(const PeerReport &report, PeerUse &use, state::Time now)
+{
+    const bool countedCharges = now - use.knownSince > m_window;
+    for (const auto &share : report.quotaReturns) {
+        double &before = use.givenBack[share.customer];
+        const double grown = share.givenBack - before;
+        before = share.givenBack;
+        const auto found = m_byHash.find(share.customer);
+        if (countedCharges && grown > 0 && found != m_byHash.end()) {
+            found->second->used.takeBack(grown);
         }
     }
 }
@@ -138,16 +155,21 @@
     return std::nullopt;
 }
 
-void QuotaTable::giveBack(const std::string &customer, double cost)
+bool QuotaTable::isLimited(std::string_view customer) const
 {
     const auto found = m_accounts.find(customer);
-    if (found == m_accounts.end() || found->second.rate <= 0) {
+    return found != m_accounts.end() && found->second.rate > 0;
+}
+
+void QuotaTable::giveBack(std::string_view customer, double cost, state::Time charged, state::Time now)
+{
+    const auto found = m_accounts.find(customer);
+    if (found == m_accounts.end() || now - charged > m_window - ReturnMargin) {
         return;
     }
     Account &account = found->second;
     account.used.takeBack(cost);
-    account.sinceStored -= cost;
-    account.admittedHere -= cost;
+    account.givenBackHere += cost;
     m_givenBack += cost;
 }
 
@@ -211,6 +233,17 @@
     return shares;
 }
 
+std::vector<QuotaReturn> QuotaTable::returns() const
+{
+    std::vector<QuotaReturn> returns;
+    for (const auto &[name, account] : m_accounts) {
+        if (account.givenBackHere > 0) {
+            returns.push_back({ shortHash(name), account.givenBackHere });
+        }
+    }
+    return returns;
+}
+
 /** Initializes the window with the stored usage as if it had been stored just now; the record may be a little older. */
 void QuotaTable::initializeUse(const std::string &customer, Account &account, state::Time now) const
 {
--- a/src/coordination/entry/quotatable.h
+++ b/src/coordination/entry/quotatable.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sapphirecove::coordination::entry {
@@ -61,8 +62,14 @@
     /** Admits @p cost of @p customer and returns nothing, or returns the time until the quota permits it. */
     std::optional<state::Duration> admit(const std::string &customer, double cost, state::Time now);
 
-    /** Gives @p cost back that admit() has charged to @p customer, for a request that was not run and never will be. */
-    void giveBack(const std::string &customer, double cost);
+    /** Returns whether admit() charges requests of @p customer. */
+    bool isLimited(std::string_view customer) const;
+
+    /**
+     * Gives @p cost back that admit() has charged to @p customer at @p charged, for a request that was not run and
+     * never will be. Does nothing if the charge is about to leave the window.
+     */
+    void giveBack(std::string_view customer, double cost, state::Time charged, state::Time now);
 
     /** Returns the cost that was given back since the host started, of all customers. */
     double givenBack() const
@@ -88,6 +95,9 @@
     /** Returns what this host has admitted, for the report to the peers. */
     std::vector<QuotaShare> shares(state::Time now);
 
+    /** Returns what this host has given back, for the report to the peers. */
+    std::vector<QuotaReturn> returns() const;
+
 private:
     struct Account
     {
@@ -100,6 +110,7 @@
         double burst = 0;
         SlidingWindow used; /**< by all hosts */
         double admittedHere = 0; /**< since the host started */
+        double givenBackHere = 0; /**< since the host started */
         double sinceStored = 0; /**< by all hosts, since useToStore() last returned their usage */
         bool useEstimated = false; /**< the window started with usage from before this host's start */
     };
@@ -109,8 +120,10 @@
         std::uint64_t incarnation = 0;
         state::Time knownSince{};
         std::map<std::uint32_t, double> admitted;
+        std::map<std::uint32_t, double> givenBack;
     };
 
+    void peerGaveBack(const PeerReport &report, PeerUse &use, state::Time now);
     std::vector<QuotaUse> significantUse(state::Time now);
     double allowed(const Account &account) const;
     bool hasSignificantGrowth() const;
--- a/src/coordination/entry/ratepacer.cpp
+++ b/src/coordination/entry/ratepacer.cpp
@@ -35,6 +35,11 @@
     skip(now);
 }
 
+void RatePacer::dropSaved(double most)
+{
+    m_level = std::min(m_level, most);
+}
+
 bool RatePacer::ready() const
 {
     return m_level >= 1;
--- a/src/coordination/entry/ratepacer.h
+++ b/src/coordination/entry/ratepacer.h
@@ -31,6 +31,9 @@
     /** Advances to @p now at @p rate requests per second since the last call; keeps those unused in @p burstSeconds. */
     void refill(double rate, state::Time now, double burstSeconds = UsualBurstSeconds);
 
+    /** Drops what is saved up beyond @p most requests; a debt stays. */
+    void dropSaved(double most);
+
     /** Returns whether a request may be sent; valid after refill(). */
     bool ready() const;
 
--- a/src/coordination/entry/remoterequesttable.cpp
+++ b/src/coordination/entry/remoterequesttable.cpp
@@ -70,7 +70,7 @@
     return { entry.requester, replyTo(entry, DecisionReply::State::Queued) };
 }
 
-AddressedReply RemoteRequestTable::decline(const DecisionRequest &message)
+AddressedReply RemoteRequestTable::decline(const DecisionRequest &message, state::Time now)
 {
     const auto known = m_localIds.find({ message.requester.incarnation, message.request.id });
     if (known != m_localIds.end()) {
@@ -78,7 +78,7 @@
         if (entry.reply) {
             return { entry.requester, *entry.reply };
         }
-        m_scheduler.withdraw(known->second);
+        m_scheduler.withdraw(known->second, now);
         erase(known->second);
     }
     Entry unknown;
@@ -165,7 +165,7 @@
     }
 }
 
-void RemoteRequestTable::dropWaiting()
+void RemoteRequestTable::dropWaiting(state::Time now)
 {
     std::vector<std::uint64_t> waiting;
     for (const auto &[localId, entry] : m_entries) {
@@ -174,7 +174,7 @@
         }
     }
     for (const std::uint64_t localId : waiting) {
-        m_scheduler.withdraw(localId);
+        m_scheduler.withdraw(localId, now);
         erase(localId);
     }
 }
@@ -209,7 +209,7 @@
 /** Ends a request that waits or holds a slot, without recording an outcome for its target. */
 void RemoteRequestTable::abandon(std::uint64_t localId, state::Time now)
 {
-    m_scheduler.withdraw(localId);
+    m_scheduler.withdraw(localId, now);
     m_scheduler.finished(localId, AttemptOutcome::Abandoned, 0, now);
     erase(localId);
 }
--- a/src/coordination/entry/remoterequesttable.h
+++ b/src/coordination/entry/remoterequesttable.h
@@ -42,7 +42,7 @@
      * Replies to @p message while this host does not decide: earlier decisions stay valid, waiting requests are
      * dropped.
      */
-    AddressedReply decline(const DecisionRequest &message);
+    AddressedReply decline(const DecisionRequest &message, state::Time now);
 
     /** Records a decision of the scheduler. Returns the reply, or nothing if the request is this host's own. */
     std::optional<AddressedReply> recordDecision(const Decision &decision, state::Time now);
@@ -57,7 +57,7 @@
     void expire(state::Time now);
 
     /** Drops the waiting requests. After a pause of this process, their hosts have turned to another decider. */
-    void dropWaiting();
+    void dropWaiting(state::Time now);
 
     /** Returns whether another host has sent a decision request within the last seconds. */
     bool hasRecentRequests(state::Time now) const;
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -160,16 +160,19 @@
         refusal.retryAfter = *retryAfter;
         return refusal;
     }
-    waiting.customer = request.customer;
-    waiting.cost = request.cost;
+    if (m_quotas.isLimited(request.customer)) {
+        waiting.customer = request.customer;
+        waiting.cost = request.cost;
+        waiting.charged = now;
+    }
     m_queue.add(std::move(waiting));
     return std::nullopt;
 }
 
-void Scheduler::withdraw(std::uint64_t id)
+void Scheduler::withdraw(std::uint64_t id, state::Time now)
 {
     if (const auto request = m_queue.take(id)) {
-        giveBackQuota(*request);
+        giveBackQuota(*request, now);
     }
 }
 
@@ -185,7 +188,7 @@
             return isBlocked(request.parts, request.service, now);
         };
         for (const auto &blocked : m_queue.takeIf(isNowBlocked)) {
-            giveBackQuota(blocked);
+            giveBackQuota(blocked, now);
             decisions.push_back(refuseBlocked(blocked, now));
         }
     }
@@ -650,6 +653,7 @@
 void Scheduler::fillReport(PeerReport &report, state::Time now)
 {
     report.quotas = m_quotas.shares(now);
+    report.quotaReturns = m_quotas.returns();
     m_rollouts.fillReport(report, now);
     report.statementsDigest = m_statements.digest();
     report.sent = m_statements.sentShares(now);
@@ -698,15 +702,15 @@
 /** Refuses @p request, which has waited and was not sent to any target. */
 Decision Scheduler::refuseWaiting(const WaitingRequest &request, RefusalReason reason, state::Time now)
 {
-    giveBackQuota(request);
+    giveBackQuota(request, now);
     return refuse(request, reason, now);
 }
 
 /** Gives back what was charged for @p request, which waited and will not be sent to any target. */
-void Scheduler::giveBackQuota(const WaitingRequest &request)
+void Scheduler::giveBackQuota(const WaitingRequest &request, state::Time now)
 {
     if (!request.customer.empty()) {
-        m_quotas.giveBack(request.customer, request.cost);
+        m_quotas.giveBack(request.customer, request.cost, request.charged, now);
     }
 }
 
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -111,7 +111,7 @@
     state::Duration blockedRetryAfter(std::span<const std::uint64_t> parts, state::Time now) const;
 
     /** Removes a waiting request. */
-    void withdraw(std::uint64_t id);
+    void withdraw(std::uint64_t id, state::Time now);
 
     /** Returns the decisions that can be made now. A request with a target takes a slot there until finished(). */
     std::vector<Decision> decide(state::Time now);
@@ -208,7 +208,7 @@
     void acquitRunning(state::Time now);
     Decision refuse(const WaitingRequest &request, RefusalReason reason, state::Time now);
     Decision refuseWaiting(const WaitingRequest &request, RefusalReason reason, state::Time now);
-    void giveBackQuota(const WaitingRequest &request);
+    void giveBackQuota(const WaitingRequest &request, state::Time now);
 
     TargetTable m_targets;
     PeerTable m_peers;
--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -37,7 +37,10 @@
  * may go on for some hosts until it hears of the change.
  */
 constexpr state::Duration HandOverTime = std::chrono::seconds(1);
-constexpr double HandOverShare = 0.5;
+constexpr double HandOverShare = 0.25;
+
+/** Rise of the share that a host may use from which on it has begun to decide for others. */
+constexpr double HandOverRise = 2;
 
 /** Time for which hosts remember a limit after it was stated last, and its end. */
 constexpr state::Duration KeepStated = std::chrono::minutes(10);
@@ -157,7 +160,7 @@
     if (!inForce || stated < limit.requestsPerSecond * UrgentFraction) {
         m_urgent = true;
     }
-    if (!isEffective(limit, now)) {
+    if (!item.coldPace && !isEffective(limit, now)) {
         item.pacer = RatePacer(phaseOf(m_self, target), now);
     }
     const bool changed = !inForce || limit.requestsPerSecond != stated;
@@ -202,7 +205,7 @@
     }
     item.lastBackOffEnd = end;
     m_lastBackOffEnd = std::max(m_lastBackOffEnd, end);
-    if (!isEffective(item.limit, now)) {
+    if (!item.coldPace && !isEffective(item.limit, now)) {
         item.pacer = RatePacer(phaseOf(m_self, target), end);
     }
 }
@@ -242,7 +245,7 @@
     }
     if (found == m_items.end() || isNewer(other, found->second.limit)) {
         Item &item = itemOf(share.target, now);
-        if (!isEffective(item.limit, now)) {
+        if (!item.coldPace && !isEffective(item.limit, now)) {
             item.pacer = RatePacer(phaseOf(m_self, share.target), now);
         }
         item.limit = other;
@@ -280,11 +283,17 @@
     for (const SentShare &share : report.sent) {
         const auto [before, added] = peer.sent.try_emplace({ share.target, share.decider }, share.requests);
         // An entry that appears stands for one request: what was sent long before is no longer reported.
-        const std::uint32_t grown = added ? 1 : share.requests - std::min(before->second, share.requests);
+        // A host that has sent nothing for long begins to count anew.
+        const std::uint32_t counted = share.requests < before->second ? 0 : before->second;
+        const std::uint32_t grown = added ? 1 : share.requests - counted;
         before->second = share.requests;
         const auto found = m_items.find(share.target);
         if (known && share.decider != m_self && found != m_items.end()) {
             if (const auto rate = rateNow(found->second, now)) {
+                // Where a host does not decide, only the requests of others use the rate.
+                if (found->second.coldPace && m_share <= 0) {
+                    found->second.pacer.refill(*rate, now, ColdPace::BurstSeconds);
+                }
                 found->second.pacer.spend(grown, *rate);
             }
         }
@@ -322,10 +331,13 @@
 
 void TargetStatements::setShare(double share, state::Time now)
 {
-    if (share > 0 && m_share <= 0) {
+    if (share > HandOverRise * m_share) {
         m_inChargeSince = now;
+    }
+    if (share > 0 && m_share <= 0) {
         for (auto &[target, item] : m_items) {
             item.pacer.skip(now);
+            item.pacer.dropSaved(phaseOf(m_self, target));
         }
     }
     m_share = share;
--- a/src/coordination/entry/waitingqueue.h
+++ b/src/coordination/entry/waitingqueue.h
@@ -11,8 +11,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
-#include <utility>
 #include <vector>
 
 namespace sapphirecove::coordination::entry {
@@ -39,6 +39,7 @@
     AllowedRegions allowedRegions; /**< see ScheduledRequest::allowedRegions */
     std::string customer; /**< whose quota was charged; empty for none */
     double cost = 0; /**< that was charged */
+    state::Time charged{};
 };
 
 /**
@@ -67,7 +68,10 @@
     /** Returns and removes all requests for which @p predicate returns true. */
     std::vector<WaitingRequest> takeIf(const std::function<bool(const WaitingRequest &)> &predicate);
 
-    /** Returns the next requests of @p service, one for each route, priority and lateness, highest rank first. */
+    /**
+     * Returns the next requests of @p service, one for each route, priority, set of allowed regions and lateness,
+     * highest rank first.
+     */
     std::vector<const WaitingRequest *> candidates(std::string_view service, state::Time now) const;
 
     /** Returns how many waiting requests of the same service go before @p request. */
@@ -86,8 +90,9 @@
 
 private:
     using Queue = std::deque<WaitingRequest>;
-    using RouteAndPriority = std::pair<std::string, int>;
-    using Queues = std::map<RouteAndPriority, Queue>;
+    /** Route, priority and allowed regions: a request whose regions are full must not hold up those of others. */
+    using QueueKey = std::tuple<std::string, int, AllowedRegions>;
+    using Queues = std::map<QueueKey, Queue>;
 
     std::map<std::string, Queues, std::less<>> m_services;
     std::unordered_map<std::uint64_t, Queue *> m_queueOf; /**< by id; nodes of m_services keep their address */
--- a/src/protocol/peerreportcodec.cpp
+++ b/src/protocol/peerreportcodec.cpp
@@ -15,6 +15,7 @@
 using coordination::entry::EvacuationShare;
 using coordination::entry::PartEvidence;
 using coordination::entry::PeerReport;
+using coordination::entry::QuotaReturn;
 using coordination::entry::QuotaShare;
 using coordination::entry::RolloutShare;
 using coordination::entry::SentShare;
@@ -52,6 +53,14 @@
     visitQuota(codec, share);
 }
 
+template <typename Codec, typename Share>
+requires std::same_as<std::remove_const_t<Share>, QuotaReturn>
+void visit(Codec &codec, Share &share)
+{
+    codec.number(share.customer);
+    codec.real(share.givenBack);
+}
+
 template <typename Codec, typename Share>
 requires std::same_as<std::remove_const_t<Share>, RolloutShare>
 void visit(Codec &codec, Share &share)
@@ -161,6 +170,7 @@
     writeList(writer, report.targets);
     writeList(writer, report.active);
     writeList(writer, report.quotas);
+    writeList(writer, report.quotaReturns);
     writeList(writer, report.rollouts);
     writeList(writer, report.versions);
     writer.number(report.statementsDigest);
@@ -190,6 +200,7 @@
     readList(reader, report.targets);
     readList(reader, report.active);
     readList(reader, report.quotas);
+    readList(reader, report.quotaReturns);
     readList(reader, report.rollouts);
     readList(reader, report.versions);
     reader.number(report.statementsDigest);
--- a/src/transport/boundedread.cpp
+++ b/src/transport/boundedread.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
+
 namespace sapphirecove::transport {
 
 namespace asio = boost::asio;
@@ -12,6 +14,9 @@
 
 namespace {
 
+/** Largest buffer that a connection keeps while it is idle or its request is served. */
+constexpr std::size_t IdleBufferBytes = 4096;
+
 /** Reads one piece, whose bytes count against @p share. */
 asio::awaitable<boost::system::error_code>
 readPiece(tcp::socket &socket, boost::beast::flat_buffer &buffer, BoundedParser &parser, ByteBudget::Share &share)
@@ -28,7 +33,14 @@
 
 void limitUnparsed(boost::beast::flat_buffer &buffer, std::size_t headerBytes)
 {
-    buffer.max_size(headerBytes + ReadPieceBytes);
+    buffer.max_size(std::max(headerBytes + ReadPieceBytes, buffer.size()));
+}
+
+void shrinkIdle(boost::beast::flat_buffer &buffer)
+{
+    if (buffer.size() == 0 && buffer.capacity() > IdleBufferBytes) {
+        buffer.shrink_to_fit();
+    }
 }
 
 std::size_t keptBytes(const BoundedParser &parser, const boost::beast::flat_buffer &buffer)
--- a/src/transport/boundedread.h
+++ b/src/transport/boundedread.h
@@ -23,6 +23,9 @@
  */
 void limitUnparsed(boost::beast::flat_buffer &buffer, std::size_t headerBytes);
 
+/** Frees what an empty @p buffer keeps beyond a few kilobytes; thousands of connections may be idle or served. */
+void shrinkIdle(boost::beast::flat_buffer &buffer);
+
 /** Returns the bytes that the message of @p parser and @p buffer keep in memory. */
 std::size_t keptBytes(const BoundedParser &parser, const boost::beast::flat_buffer &buffer);
 
--- a/src/transport/entry/callersession.cpp
+++ b/src/transport/entry/callersession.cpp
@@ -29,9 +29,6 @@
 /** Retry-After of a request that was given up as the bodies of all requests took too much memory. */
 constexpr state::Duration BodyRetryAfter = std::chrono::seconds(1);
 
-/** Largest buffer that a connection keeps while it is idle or served; there may be thousands of them. */
-constexpr std::size_t IdleBufferBytes = 4096;
-
 /** Bytes that are peeked at, only to tell a closed connection from a further request. */
 constexpr std::size_t PeekBytes = 1;
 
@@ -117,16 +114,18 @@
             http::response<http::empty_body> continueResponse(http::status::continue_, 11);
             co_await http::async_write(m_socket, continueResponse, asio::redirect_error(asio::use_awaitable, error));
         }
+        if (m_requestBytes->givenUp()) {
+            error = asio::error::no_buffer_space;
+        }
         if (!error) {
             error = co_await readRest(m_socket, m_buffer, parser, *m_requestBytes);
         }
     }
-    if (m_requestBytes) {
+    shrinkIdle(m_buffer);
+    if (!error) {
+        m_requestBytes->resize(keptBytes(parser, m_buffer));
         m_requestBytes->complete();
     }
-    if (m_buffer.size() == 0 && m_buffer.capacity() > IdleBufferBytes) {
-        m_buffer.shrink_to_fit();
-    }
     m_readDeadline.reset();
     const bool tooSlow = m_readTimedOut && m_receiving;
     m_receiving = false;
--- a/src/transport/entry/storefollower.cpp
+++ b/src/transport/entry/storefollower.cpp
@@ -823,7 +823,12 @@
                                   bool complete,
                                   coordination::entry::TopicPosition position)
 {
-    applyEvacuations(records, complete, position);
+    // Another host may provide records from before those that this host knows.
+    const coordination::entry::TopicPosition known{ m_operatorTopic.era.value_or(0), m_operatorTopic.next.value_or(0) };
+    const bool outdated = position < known;
+    if (!outdated) {
+        applyEvacuations(records, complete, position);
+    }
     // Only the newest sound configuration of a page is decoded, because configurations may come in quick succession.
     // After a restore they may be written again in another order.
     const bool inOrder = !mayHoldOldRecords();
@@ -833,6 +838,9 @@
             continue;
         }
         const OperatorRecord kind = m_context.codec.classify(record.key);
+        if (kind == OperatorRecord::Evacuation && outdated) {
+            continue;
+        }
         if (kind != OperatorRecord::Configuration) {
             provideToPeers(record);
         } else if (inOrder) {
@@ -859,8 +867,12 @@
     // The last record of a domain holds; all of them are known at the same position.
     std::map<std::string, bool> evacuated;
     for (const auto &record : records) {
+        if (m_context.codec.classify(record.key) != OperatorRecord::Evacuation) {
+            continue;
+        }
         const auto domain = m_context.codec.evacuatedDomain(record.key);
         if (!domain) {
+            logEvent("evacuation_rejected", { { "key", record.key }, { "reason", "no name of a failure domain" } });
             continue;
         }
         evacuated[*domain] = record.value.has_value();
--- a/src/transport/httpserver.cpp
+++ b/src/transport/httpserver.cpp
@@ -79,6 +79,8 @@
         if (error) {
             co_return;
         }
+        shrinkIdle(buffer);
+        share.resize(keptBytes(parser, buffer));
         share.complete();
         watchdog.disarm();
         const HttpRequest request = parser.release();
--- a/tests/coordination/entry/testcoldtargets.cpp
+++ b/tests/coordination/entry/testcoldtargets.cpp
@@ -149,6 +149,38 @@
     CHECK_FALSE(scheduler->statements().rate(target, Start));
 }
 
+// Guards against a new decider that counts all that others have sent before as its debt, and sends nothing.
+TEST_CASE("a service with rates is served on after a change of the decider", "[entry][fleet][cold]")
+{
+    for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        constexpr int hosts = 8;
+        SimulatedFleet::Options options{ hosts, 2, 12, 0, seed };
+        options.coldRate = ColdRate;
+        SimulatedFleet fleet(options);
+        const auto run = [&](state::Duration time) {
+            const std::size_t before = fleet.arrivalsAt("t0").size() + fleet.arrivalsAt("t1").size();
+            const state::Time end = fleet.now() + time;
+            for (int i = 0; fleet.now() < end; ++i) {
+                const int host = i % hosts;
+                const auto deciders = fleet.deciders();
+                if (deciders.empty() || deciders.front() != host) {
+                    fleet.submit(host, makeRequest(0, 0, 100, fleet.now()), milliseconds(50));
+                }
+                fleet.runUntil(fleet.now() + milliseconds(100));
+            }
+            return fleet.arrivalsAt("t0").size() + fleet.arrivalsAt("t1").size() - before;
+        };
+        fleet.runUntil(Start + seconds(2));
+        run(seconds(10));
+        const std::size_t usual = run(seconds(3));
+        REQUIRE(fleet.deciders().size() == 1);
+        fleet.kill(fleet.deciders().front());
+        const std::size_t after = run(seconds(3));
+        CHECK(2 * after > usual);
+    }
+}
+
 // Guards against FAILBACK in a fleet: targets that turn cold unnoticed or come back together, several deciders at once,
 // hosts that are cut off or start again.
 TEST_CASE("cold targets get no more than their bound under random schedules of faults", "[entry][fleet][cold]")
@@ -175,6 +207,12 @@
                 fleet.crash("t1");
             }
         }
+        std::size_t arrivals = 0;
+        for (int target = 0; target < targets; ++target) {
+            arrivals += fleet.arrivalsAt("t" + std::to_string(target)).size();
+        }
+        // A third of what the targets may get in these twelve seconds.
+        CHECK(static_cast<double>(arrivals) > targets * 12 * ColdRate / 3);
         for (int target = 0; target < targets; ++target) {
             CAPTURE(target);
             CHECK(mostInSecond(fleet.arrivalsAt("t" + std::to_string(target))) <= BoundInSecond);
--- a/tests/coordination/entry/testevacuations.cpp
+++ b/tests/coordination/entry/testevacuations.cpp
@@ -57,6 +57,22 @@
     CHECK_FALSE(evacuations.isEvacuated("adum"));
     CHECK(evacuations.isEvacuated("osu"));
     CHECK(evacuations.evacuatedCount() == 1);
+    // A copy of the store, from before the order.
+    evacuations.endOthers({}, { 2, 5 });
+    CHECK(evacuations.isEvacuated("osu"));
+    evacuations.recorded("osu", false, { 2, 6 });
+    CHECK_FALSE(evacuations.isEvacuated("osu"));
+}
+
+// Guards against an older report of a host that was cut off, after the order's removal.
+TEST_CASE("a removal is remembered although the order was not known", "[entry][evacuation]")
+{
+    Evacuations late;
+    Evacuations cutOff;
+    cutOff.recorded("osu", true, { 1, 10 });
+    late.recorded("osu", false, { 1, 12 });
+    late.merge(cutOff.shares());
+    CHECK_FALSE(late.isEvacuated("osu"));
 }
 
 // Guards against hosts that never agree, and against reports that say the same again and again.
