--- a/src/coordination/entry/regionrules.cpp
+++ b/src/coordination/entry/regionrules.cpp
@@ -10,27 +10,27 @@
 {
 }
 
-AllowedRegions RegionRules::allowed(const state::entry::Route &route, const state::entry::Customer *customer)
+PermittedRegions RegionRules::allowed(const state::entry::Route &route, const state::entry::Customer *customer)
 {
-    const bool customerBinds = customer != nullptr && !customer->allowedRegions.empty();
-    if (route.allowedRegions.empty()) {
-        return customerBinds ? AllowedRegions(customer->allowedRegions) : std::nullopt;
+    const bool customerBinds = customer != nullptr && !customer->permittedRegions.empty();
+    if (route.permittedRegions.empty()) {
+        return customerBinds ? PermittedRegions(customer->permittedRegions) : std::nullopt;
     }
     if (!customerBinds) {
-        return route.allowedRegions;
+        return route.permittedRegions;
     }
     std::vector<std::string> both;
-    std::copy_if(route.allowedRegions.begin(),
-                 route.allowedRegions.end(),
+    std::copy_if(route.permittedRegions.begin(),
+                 route.permittedRegions.end(),
                  std::back_inserter(both),
                  [&](const std::string &region) {
-                     const auto &others = customer->allowedRegions;
+                     const auto &others = customer->permittedRegions;
                      return std::find(others.begin(), others.end(), region) != others.end();
                  });
     return both;
 }
 
-bool RegionRules::allows(const AllowedRegions &regions, std::string_view domain) const
+bool RegionRules::allows(const PermittedRegions &regions, std::string_view domain) const
 {
     if (!regions) {
         return true;
@@ -49,24 +49,24 @@
         }
     };
     for (const auto &route : table.routes()) {
-        for (const auto &region : route.allowedRegions) {
+        for (const auto &region : route.permittedRegions) {
             if (!isKnown(region)) {
                 add({ route.name, {}, region });
             }
         }
     }
     for (const auto &customer : table.customers()) {
-        for (const auto &region : customer.allowedRegions) {
+        for (const auto &region : customer.permittedRegions) {
             if (!isKnown(region)) {
                 add({ {}, customer.name, region });
             }
         }
-        if (customer.allowedRegions.empty()) {
+        if (customer.permittedRegions.empty()) {
             continue;
         }
         for (const auto &route : table.routes()) {
             // Requests of public routes belong to no customer.
-            if (!route.isPublic && !route.allowedRegions.empty() && allowed(route, &customer)->empty()) {
+            if (!route.isPublic && !route.permittedRegions.empty() && allowed(route, &customer)->empty()) {
                 add({ route.name, customer.name, {} });
             }
         }
@@ -81,7 +81,7 @@
     });
 }
 
-std::string describe(const AllowedRegions &regions)
+std::string describe(const PermittedRegions &regions)
 {
     if (!regions) {
         return "all";
--- a/src/coordination/entry/regionrules.h
+++ b/src/coordination/entry/regionrules.h
@@ -12,7 +12,7 @@
 namespace sapphirecove::coordination::entry {
 
 /** Regions in which a request may run; nothing allows all of them, an empty list none. */
-using AllowedRegions = std::optional<std::vector<std::string>>;
+using PermittedRegions = std::optional<std::vector<std::string>>;
 
 /** Something in a configuration that leaves requests without a region to run in, or names a region that is unknown. */
 struct RegionProblem
@@ -35,10 +35,10 @@
     explicit RegionRules(const std::map<std::string, std::string> &regionOfDomain);
 
     /** Returns the regions that @p route and @p customer, which may be nullptr, both allow. */
-    static AllowedRegions allowed(const state::entry::Route &route, const state::entry::Customer *customer);
+    static PermittedRegions allowed(const state::entry::Route &route, const state::entry::Customer *customer);
 
     /** Returns whether a request with @p regions may run in the failure domain @p domain. */
-    bool allows(const AllowedRegions &regions, std::string_view domain) const;
+    bool allows(const PermittedRegions &regions, std::string_view domain) const;
 
     /** Returns what is wrong with the regions in @p table, at most @p most problems. */
     std::vector<RegionProblem> problems(const state::entry::RoutingTable &table, std::size_t most) const;
@@ -50,6 +50,6 @@
 };
 
 /** Returns @p regions for the log: "all", "none", or their names. */
-std::string describe(const AllowedRegions &regions);
+std::string describe(const PermittedRegions &regions);
 
 } // namespace sapphirecove::coordination::entry
--- a/src/coordination/entry/scheduledrequest.h
+++ b/src/coordination/entry/scheduledrequest.h
@@ -40,7 +40,7 @@
     std::vector<std::string> excludedTargets; /**< already tried */
     std::vector<std::uint64_t> parts; /**< which a crash accuses: the request itself, then shared parts of its prompt */
     std::vector<BackOff> backOffs; /**< that made the host refuse placements of this request */
-    AllowedRegions allowedRegions; /**< by the configuration of the host that runs the request */
+    PermittedRegions permittedRegions; /**< by the configuration of the host that runs the request */
 };
 
 /** Reason why a request is not sent to a target. */
--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -142,10 +142,10 @@
     waiting.parts = request.parts;
     waiting.host = request.host;
     waiting.backOffs = request.backOffs;
-    waiting.allowedRegions = request.allowedRegions;
+    waiting.permittedRegions = request.permittedRegions;
     averages.service = request.service;
     averages.rank = WaitingQueue::rankOf(waiting, now);
-    if (!isServed(request.service, request.allowedRegions)) {
+    if (!isServed(request.service, request.permittedRegions)) {
         return refuse(waiting, RefusalReason::NoTarget, now);
     }
     if (isBlocked(waiting.parts, waiting.service, now)) {
@@ -195,7 +195,7 @@
     if (m_evacuationsApplied != m_evacuations.begun()) {
         m_evacuationsApplied = m_evacuations.begun();
         const auto hasNoTarget = [&](const WaitingRequest &request) {
-            return !isServed(request.service, request.allowedRegions);
+            return !isServed(request.service, request.permittedRegions);
         };
         for (const auto &request : m_queue.takeIf(hasNoTarget)) {
             decisions.push_back(refuseWaiting(request, RefusalReason::NoTarget, now));
@@ -248,7 +248,7 @@
 }
 
 /** Returns whether @p service has a target in one of @p regions and outside the evacuated failure domains. */
-bool Scheduler::isServed(std::string_view service, const AllowedRegions &regions) const
+bool Scheduler::isServed(std::string_view service, const PermittedRegions &regions) const
 {
     const auto &targets = m_targets.ofService(service);
     return std::any_of(targets.begin(), targets.end(), [&](const TargetLoad *target) {
@@ -298,7 +298,7 @@
         // share.
         const bool open =
             target->usable(now) && m_rollouts.mayUse(request.service, target->entry().softwareVersion, m_deciders);
-        const bool allowed = m_regionRules.allows(request.allowedRegions, target->entry().failureDomain);
+        const bool allowed = m_regionRules.allows(request.permittedRegions, target->entry().failureDomain);
         if (open && allowed && target->hasRoom() && !tried && meetsPauseLimit(*target, request)
             && mayHold(*target, request, now) && !closedUntil(*target, request, now)
             && m_statements.mayDispatch(target->hash(), now)) {
@@ -340,7 +340,7 @@
     std::optional<state::Time> first;
     const auto &excluded = request.excludedTargets;
     for (const TargetLoad *target : m_targets.ofService(request.service)) {
-        if (!isUsable(*target, now) || !m_regionRules.allows(request.allowedRegions, target->entry().failureDomain)) {
+        if (!isUsable(*target, now) || !m_regionRules.allows(request.permittedRegions, target->entry().failureDomain)) {
             continue;
         }
         if (std::find(excluded.begin(), excluded.end(), target->entry().id) != excluded.end()) {
@@ -688,7 +688,7 @@
     double slots = 0;
     double closedSlots = 0;
     for (const TargetLoad *target : usableTargets(request.service, now)) {
-        if (!m_regionRules.allows(request.allowedRegions, target->entry().failureDomain)) {
+        if (!m_regionRules.allows(request.permittedRegions, target->entry().failureDomain)) {
             continue;
         }
         const auto rate = m_statements.rate(target->hash(), now);
--- a/src/coordination/entry/scheduler.h
+++ b/src/coordination/entry/scheduler.h
@@ -185,7 +185,7 @@
 
     void decideService(std::string_view service, state::Time now, std::vector<Decision> &decisions);
     std::vector<TargetLoad *> usableTargets(std::string_view service, state::Time now) const;
-    bool isServed(std::string_view service, const AllowedRegions &regions) const;
+    bool isServed(std::string_view service, const PermittedRegions &regions) const;
     bool isUsable(const TargetLoad &target, state::Time now) const;
     static bool meetsPauseLimit(const TargetLoad &target, const WaitingRequest &request);
     std::vector<TargetLoad *>
--- a/src/coordination/entry/waitingqueue.cpp
+++ b/src/coordination/entry/waitingqueue.cpp
@@ -35,7 +35,7 @@
 
 void WaitingQueue::add(WaitingRequest request)
 {
-    auto &queue = m_services[request.service][{ request.route, request.priority, request.allowedRegions }];
+    auto &queue = m_services[request.service][{ request.route, request.priority, request.permittedRegions }];
     // Requests of one queue mostly arrive in the order of their latency targets, so that the search usually ends at
     // once.
     auto position = queue.end();
--- a/src/coordination/entry/waitingqueue.h
+++ b/src/coordination/entry/waitingqueue.h
@@ -36,7 +36,7 @@
     std::vector<std::string> excludedTargets; /**< already tried */
     std::vector<std::uint64_t> parts; /**< see ScheduledRequest::parts */
     std::vector<BackOff> backOffs; /**< that made the host refuse placements of this request */
-    AllowedRegions allowedRegions; /**< see ScheduledRequest::allowedRegions */
+    PermittedRegions permittedRegions; /**< see ScheduledRequest::permittedRegions */
     std::string customer; /**< whose quota was charged; empty for none */
     double cost = 0; /**< that was charged */
     state::Time charged{};
@@ -91,7 +91,7 @@
 private:
     using Queue = std::deque<WaitingRequest>;
     /** Route, priority and allowed regions: a request whose regions are full must not hold up those of others. */
-    using QueueKey = std::tuple<std::string, int, AllowedRegions>;
+    using QueueKey = std::tuple<std::string, int, PermittedRegions>;
     using Queues = std::map<QueueKey, Queue>;
 
     std::map<std::string, Queues, std::less<>> m_services;
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -124,11 +124,11 @@
         writer.number(backOff.target);
         writer.number(coordination::entry::ageMs(now, backOff.until));
     }
-    writer.flag(request.allowedRegions.has_value());
-    if (request.allowedRegions) {
-        const std::size_t regions = std::min(request.allowedRegions->size(), MaxRegions);
+    writer.flag(request.permittedRegions.has_value());
+    if (request.permittedRegions) {
+        const std::size_t regions = std::min(request.permittedRegions->size(), MaxRegions);
         writer.number(static_cast<std::uint8_t>(regions));
-        for (const auto &region : std::span(*request.allowedRegions).first(regions)) {
+        for (const auto &region : std::span(*request.permittedRegions).first(regions)) {
             writer.text(region);
         }
     }
@@ -180,7 +180,7 @@
     if (bound) {
         std::uint8_t regions = 0;
         reader.number(regions);
-        auto &allowed = request.allowedRegions.emplace();
+        auto &allowed = request.permittedRegions.emplace();
         for (std::uint8_t i = 0; i < regions && !reader.failed(); ++i) {
             reader.text(allowed.emplace_back());
         }
--- a/src/state/entry/routing.h
+++ b/src/state/entry/routing.h
@@ -41,7 +41,7 @@
     std::uint32_t maxTargets = 1; /**< targets to which one attempt of the caller may be sent */
     bool isPublic = false; /**< needs no key */
     bool resumable = false; /**< a broken stream may continue at another target */
-    std::vector<std::string> allowedRegions; /**< in which requests may be served and kept; empty for all */
+    std::vector<std::string> permittedRegions; /**< in which requests may be served and kept; empty for all */
 
     /** Returns whether a request may be sent again although it may have run. */
     bool repeatable() const
@@ -70,7 +70,7 @@
     double plainRequestCost = 1; /**< cost of a request that declares no tokens */
     double ratePerSecond = 0; /**< quota over all hosts; 0 for none */
     double burst = 0; /**< cost that may be spent at once */
-    std::vector<std::string> allowedRegions; /**< in which requests may be served and kept; empty for all */
+    std::vector<std::string> permittedRegions; /**< in which requests may be served and kept; empty for all */
 };
 
 /** Limits for requests and connections of callers. */
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -270,7 +270,7 @@
     request.excludedTargets.insert(request.excludedTargets.end(), m_rejectingTargets.begin(), m_rejectingTargets.end());
     request.parts = m_admitted.suspects;
     request.backOffs = m_backOffs;
-    request.allowedRegions = m_admitted.allowedRegions;
+    request.permittedRegions = m_admitted.permittedRegions;
     if (!m_quotaCharged) {
         request.customer = m_admitted.customer;
         request.cost = m_admitted.cost;
@@ -323,7 +323,7 @@
                    { "retry_after_ms", milliseconds(m_decision->retryAfter) },
                    { "customer", m_admitted.customer },
                    { "cost", std::to_string(static_cast<std::int64_t>(m_admitted.cost)) },
-                   { "regions", coordination::entry::describe(m_admitted.allowedRegions) },
+                   { "regions", coordination::entry::describe(m_admitted.permittedRegions) },
                    { "decider", m_decision->decider },
                    { "requests_waiting",
                      std::to_string(m_context.scheduler.waiting() + m_context.fleet.awaitingDecision()) },
@@ -350,7 +350,7 @@
 bool Exchange::isAllowed(const Decision &decision)
 {
     m_admission.updateRegions();
-    return m_context.scheduler.regionRules().allows(m_admitted.allowedRegions, decision.target.failureDomain);
+    return m_context.scheduler.regionRules().allows(m_admitted.permittedRegions, decision.target.failureDomain);
 }
 
 /** Returns whether nothing may be sent to the target of @p decision now. */
--- a/src/transport/entry/requestadmission.cpp
+++ b/src/transport/entry/requestadmission.cpp
@@ -167,8 +167,8 @@
         return false;
     }
     const auto before =
-        std::exchange(m_admitted.allowedRegions, coordination::entry::RegionRules::allowed(*route, customer));
-    return before != m_admitted.allowedRegions;
+        std::exchange(m_admitted.permittedRegions, coordination::entry::RegionRules::allowed(*route, customer));
+    return before != m_admitted.permittedRegions;
 }
 
 /**
--- a/src/transport/entry/requestadmission.h
+++ b/src/transport/entry/requestadmission.h
@@ -22,7 +22,7 @@
     std::string service;
     bool model = false; /**< the service consists of model engines */
     double cost = 0; /**< in the unit of the customer's quota */
-    coordination::entry::AllowedRegions allowedRegions;
+    coordination::entry::PermittedRegions permittedRegions;
     std::vector<std::uint64_t> suspects; /**< the request itself, then the parts of its prompt; see CrashSuspects */
     state::Time deadline{}; /**< earlier end of the route's timeout and the caller's deadline */
 };
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -374,7 +374,7 @@
     const std::uint64_t id = decision.request;
     const PlacedTarget target{ decision.targetHash, decision.target.failureDomain, decision.targetsConfirmed };
     const bool allowed =
-        simulatedHost.scheduler->regionRules().allows(m_requests[id].allowedRegions, target.failureDomain);
+        simulatedHost.scheduler->regionRules().allows(m_requests[id].permittedRegions, target.failureDomain);
     if (allowed && !simulatedHost.fleet.isWithheld(target, m_now)) {
         return false;
     }
--- a/tests/coordination/entry/testregionrules.cpp
+++ b/tests/coordination/entry/testregionrules.cpp
@@ -17,7 +17,7 @@
 {
     state::entry::Route route;
     route.name = "r";
-    route.allowedRegions = std::move(regions);
+    route.permittedRegions = std::move(regions);
     return route;
 }
 
@@ -25,7 +25,7 @@
 {
     state::entry::Customer customer;
     customer.name = "c";
-    customer.allowedRegions = std::move(regions);
+    customer.permittedRegions = std::move(regions);
     return customer;
 }
 
@@ -36,10 +36,10 @@
     return entry;
 }
 
-ScheduledRequest requestIn(std::uint64_t id, AllowedRegions regions)
+ScheduledRequest requestIn(std::uint64_t id, PermittedRegions regions)
 {
     ScheduledRequest request = makeRequest(id, 0, 600);
-    request.allowedRegions = std::move(regions);
+    request.permittedRegions = std::move(regions);
     return request;
 }
 
@@ -50,19 +50,19 @@
 {
     const auto anywhere = customerIn({});
     const auto kumasi = customerIn({ "kumasi" });
-    CHECK(RegionRules::allowed(routeIn({}), nullptr) == AllowedRegions());
-    CHECK(RegionRules::allowed(routeIn({}), &anywhere) == AllowedRegions());
-    CHECK(RegionRules::allowed(routeIn({ "accra" }), &anywhere) == AllowedRegions({ "accra" }));
-    CHECK(RegionRules::allowed(routeIn({}), &kumasi) == AllowedRegions({ "kumasi" }));
-    CHECK(RegionRules::allowed(routeIn({ "accra", "kumasi" }), &kumasi) == AllowedRegions({ "kumasi" }));
-    CHECK(RegionRules::allowed(routeIn({ "accra" }), &kumasi) == AllowedRegions(std::vector<std::string>()));
+    CHECK(RegionRules::allowed(routeIn({}), nullptr) == PermittedRegions());
+    CHECK(RegionRules::allowed(routeIn({}), &anywhere) == PermittedRegions());
+    CHECK(RegionRules::allowed(routeIn({ "accra" }), &anywhere) == PermittedRegions({ "accra" }));
+    CHECK(RegionRules::allowed(routeIn({}), &kumasi) == PermittedRegions({ "kumasi" }));
+    CHECK(RegionRules::allowed(routeIn({ "accra", "kumasi" }), &kumasi) == PermittedRegions({ "kumasi" }));
+    CHECK(RegionRules::allowed(routeIn({ "accra" }), &kumasi) == PermittedRegions(std::vector<std::string>()));
 
     const RegionRules rules(Regions);
     CHECK(rules.allows(std::nullopt, "unknown"));
-    CHECK(rules.allows(AllowedRegions({ "kumasi" }), "adum"));
-    CHECK_FALSE(rules.allows(AllowedRegions({ "kumasi" }), "osu"));
-    CHECK_FALSE(rules.allows(AllowedRegions({ "kumasi" }), "unknown"));
-    CHECK_FALSE(rules.allows(AllowedRegions(std::vector<std::string>()), "osu"));
+    CHECK(rules.allows(PermittedRegions({ "kumasi" }), "adum"));
+    CHECK_FALSE(rules.allows(PermittedRegions({ "kumasi" }), "osu"));
+    CHECK_FALSE(rules.allows(PermittedRegions({ "kumasi" }), "unknown"));
+    CHECK_FALSE(rules.allows(PermittedRegions(std::vector<std::string>()), "osu"));
 }
 
 // Guards against an operator who does not learn why requests of a route or a customer are refused.
@@ -86,8 +86,8 @@
     const auto scheduler = makeScheduler();
     scheduler->targets().listed(targetIn("near", "osu"));
     scheduler->targets().listed(targetIn("far", "adum"));
-    REQUIRE_FALSE(scheduler->enqueue(requestIn(1, AllowedRegions({ "kumasi" })), Start));
-    REQUIRE_FALSE(scheduler->enqueue(requestIn(2, AllowedRegions({ "kumasi" })), Start));
+    REQUIRE_FALSE(scheduler->enqueue(requestIn(1, PermittedRegions({ "kumasi" })), Start));
+    REQUIRE_FALSE(scheduler->enqueue(requestIn(2, PermittedRegions({ "kumasi" })), Start));
     auto decisions = scheduler->decide(Start);
     REQUIRE(decisions.size() == 1);
     CHECK(decisions[0].target.id == "far");
@@ -98,7 +98,7 @@
     CHECK(decisions[0].request == 2);
     CHECK(decisions[0].target.id == "far");
 
-    const auto refusal = scheduler->enqueue(requestIn(3, AllowedRegions({ "lagos" })), Start);
+    const auto refusal = scheduler->enqueue(requestIn(3, PermittedRegions({ "lagos" })), Start);
     REQUIRE(refusal);
     CHECK(refusal->refusal == RefusalReason::NoTarget);
     CHECK(refusal->retryAfter > state::Duration::zero());
@@ -111,7 +111,7 @@
     scheduler->targets().listed(targetIn("near", "osu"));
     scheduler->targets().listed(targetIn("far", "adum"));
     for (std::uint64_t id = 1; id <= 2; ++id) {
-        REQUIRE_FALSE(scheduler->enqueue(requestIn(id, AllowedRegions({ "kumasi" })), Start));
+        REQUIRE_FALSE(scheduler->enqueue(requestIn(id, PermittedRegions({ "kumasi" })), Start));
     }
     ScheduledRequest free = requestIn(3, std::nullopt);
     free.arrived = Start + milliseconds(10);
@@ -138,7 +138,7 @@
             ScheduledRequest request = makeRequest(0, 0, 600, fleet.now());
             const auto kind = random() % 3;
             if (kind > 0) {
-                request.allowedRegions = { { kind == 1 ? "accra" : "kumasi" } };
+                request.permittedRegions = { { kind == 1 ? "accra" : "kumasi" } };
             }
             return request;
         });
--- a/tests/platform/testplatform.cpp
+++ b/tests/platform/testplatform.cpp
@@ -443,4 +443,49 @@
     });
     REQUIRE(read);
     CHECK(read->state == state::entry::RolloutState::RolledBack);
+} // Guards against regions, cold times and rates that are lost, or taken as they are although they are absurd.
+TEST_CASE("regions and what is said about cold targets are decoded", "[platform][configuration]")
+{
+    const Codec codec;
+    const auto [decoded, problem] = attempt<state::entry::RoutingTable>([&] {
+        return codec.decodeConfiguration(
+            R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/r/","kind":"idempotent","service":"s",)"
+            R"("allowedRegions":["accra",3]},{"name":"o","host":"h","pathPrefix":"/o/","kind":"idempotent","service":"s",)"
+            R"("allowedRegions":"accra"},{"name":"a","host":"h","pathPrefix":"/a/","kind":"idempotent","service":"s"}],)"
+            R"("services":[{"name":"s","coldStartS":3.5,"coldPerS":11},{"name":"u","coldStartS":1e9,"coldPerS":-4}],)"
+            R"("tenants":[{"name":"t","apiKeys":["k"],"allowedRegions":["kumasi"]}]})");
+    });
+    REQUIRE(decoded);
+    const auto &table = *decoded;
+    CHECK(table.findRoute("h", "/r/")->permittedRegions == std::vector<std::string>{ "accra", "?" });
+    CHECK(table.findRoute("h", "/o/")->permittedRegions == std::vector<std::string>{ "?" });
+    CHECK(table.findRoute("h", "/a/")->permittedRegions.empty());
+    CHECK(table.findCustomer("k")->permittedRegions == std::vector<std::string>{ "kumasi" });
+    CHECK(table.findService("s")->coldTime == std::chrono::milliseconds(3500));
+    CHECK(table.findService("s")->coldRequestsPerSecond == 11);
+    CHECK(table.findService("u")->coldTime == std::chrono::seconds(60));
+    CHECK(table.findService("u")->coldRequestsPerSecond == 0);
+    const auto target = [](const std::string &cold) {
+        const auto [entry, error] = readTarget(replaced(Target, R"(,"coldLeftMs":0)", cold));
+        return entry.value_or(state::entry::TargetEntry());
+    };
+    CHECK(target(R"(,"coldLeftMs":1500)").coldFor == std::chrono::milliseconds(1500));
+    CHECK(target(R"(,"coldLeftMs":-1)").coldFor == state::Duration::zero());
+    CHECK(target(R"(,"coldLeftMs":1e15)").coldFor == std::chrono::seconds(60));
+    CHECK_FALSE(target("").coldFor);
+}
+
+// Guards against evacuation orders that are not recognized, or whose failure domain is lost.
+TEST_CASE("evacuation orders name their failure domain", "[platform][evacuation]")
+{
+    using transport::entry::OperatorRecord;
+    const Codec codec;
+    CHECK(codec.classify("evacuate/osu") == OperatorRecord::Evacuation);
+    CHECK(codec.evacuatedDomain("evacuate/osu") == "osu");
+    CHECK(codec.classify("evacuate/") == OperatorRecord::Evacuation);
+    CHECK_FALSE(codec.evacuatedDomain("evacuate/"));
+    CHECK_FALSE(codec.evacuatedDomain("rollout/osu"));
+    CHECK(codec.isEvacuation("{}"));
+    CHECK_FALSE(codec.isEvacuation("17"));
+    CHECK_FALSE(codec.isEvacuation("{"));
 }
--- a/tests/transport/entry/storehost.h
+++ b/tests/transport/entry/storehost.h
@@ -23,7 +23,7 @@
         m_settings.address = "127.0.0.1";
         m_settings.failureDomain = "osu";
         m_settings.region = "accra";
-        m_settings.regionOfDomain = { { "osu", "accra" } };
+        m_settings.regionOfDomain = { { "osu", "accra" }, { "adum", "kumasi" } };
         m_settings.callers = { "127.0.0.1", freePort() };
         m_settings.readiness = { "127.0.0.1", freePort() };
         m_settings.peerPort = peerPort;
