Use a part of the rates of cold targets while another host decides, too

Ruled out: a smaller share of the bound at all times, which costs the service in calm. Change: a host that hears of requests which another one decided uses a quarter of the rates for a second, and so does one that has paused.

--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -234,6 +234,7 @@
     m_remoteRequests.dropWaiting(now);
     m_lastTick = now;
     m_pausedUntil = now + PauseRecovery;
+    m_scheduler.statements().setShare(0, now); // Another host may have decided meanwhile.
     m_directory.setSelf(false, false);
 }
 
--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -33,8 +33,8 @@
 constexpr state::Duration ColdRamp = std::chrono::seconds(2);
 
 /**
- * Time for which a host that has just begun to decide uses a part of the rates of cold targets only, as the one before
- * may go on for some hosts until it hears of the change.
+ * Time for which a host that has just begun to decide, or has heard of requests that another host decided, uses a part
+ * of the rates of cold targets only: the other one may go on for some hosts until it hears of the change.
  */
 constexpr state::Duration HandOverTime = std::chrono::seconds(1);
 constexpr double HandOverShare = 0.25;
@@ -293,6 +293,8 @@
                 // Where a host does not decide, only the requests of others use the rate.
                 if (found->second.coldPace && m_share <= 0) {
                     found->second.pacer.refill(*rate, now, ColdPace::BurstSeconds);
+                } else if (found->second.coldPace && grown > 0) {
+                    m_inChargeSince = now;
                 }
                 found->second.pacer.spend(grown, *rate);
             }
--- a/src/coordination/entry/targetstatements.h
+++ b/src/coordination/entry/targetstatements.h
@@ -200,7 +200,7 @@
 
     std::uint32_t m_self;
     double m_share = 1;
-    state::Time m_inChargeSince{}; /**< when this host began to decide */
+    state::Time m_inChargeSince{}; /**< when this host began to decide alone, as far as it has heard */
     std::map<std::uint32_t, Item> m_items;
     std::map<TargetAndDecider, Sends> m_sent; /**< by this host since a rate of the target is known */
     std::uint32_t m_nextShared = 0; /**< where shares() goes on */
