Compare topic positions by an operator that the linter reads correctly

Cause: clang-tidy 14 takes the zero of a defaulted three-way comparison for a null pointer and stops the linter. Ruled out: an exception for the check, which finds real cases. Change: operator< and operator== in its place.

--- a/src/coordination/entry/evacuations.cpp
+++ b/src/coordination/entry/evacuations.cpp
@@ -70,7 +70,7 @@
     if (found != m_domains.end()) {
         const Item &known = found->second;
         // Two hosts that read at the same position may have seen a record between two pages; the stricter one holds.
-        const bool isNewer = item.position > known.position || (item.position == known.position && item.evacuated);
+        const bool isNewer = known.position < item.position || (item.position == known.position && item.evacuated);
         if (!isNewer) {
             return true;
         }
--- a/src/coordination/entry/evacuations.h
+++ b/src/coordination/entry/evacuations.h
@@ -2,7 +2,6 @@
 
 #include "coordination/entry/peerreport.h"
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -10,6 +9,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -21,7 +21,12 @@
     std::uint64_t era = 0; /**< of the metadata store, 0 if it states none; offsets of different eras do not compare */
     std::uint64_t offset = 0;
 
-    friend auto operator<=>(const TopicPosition &, const TopicPosition &) = default;
+    friend bool operator==(const TopicPosition &, const TopicPosition &) = default;
+
+    friend bool operator<(const TopicPosition &first, const TopicPosition &second)
+    {
+        return std::tie(first.era, first.offset) < std::tie(second.era, second.offset);
+    }
 };
 
 /** A failure domain whose evacuation has begun or ended. */
