Tell the rates of warm targets from slots, and a second decider from hosts alone

The expected wait took the rate of a target that may turn cold for a number of slots, so that short requests were refused with slots free; and each request that a host had decided for itself made the decider use a quarter of the rates for a second. Ruled out: rates without a reserve, as two deciders beside each other then exceed the bound. Change: only stated limits and known coldness bound the expected slots; only what a third host decided counts as a second decider.

--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -691,7 +691,10 @@
         if (!m_regionRules.allows(request.permittedRegions, target->entry().failureDomain)) {
             continue;
         }
-        const auto rate = m_statements.rate(target->hash(), now);
+        // The rate of a warm target bounds how many short requests start there, not how many slots they may hold.
+        const TargetLimit *limit = m_statements.find(target->hash());
+        const bool isBound = (limit != nullptr && limit->revision > 0) || now < target->coldUntil();
+        const auto rate = isBound ? m_statements.rate(target->hash(), now) : std::nullopt;
         const double all = target->entry().slots;
         const double usable = rate ? std::min(all, *rate * request.usualSlotMs / 1000) : all;
         (closedUntil(*target, request, now) ? closedSlots : slots) += usable;
--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -1,5 +1,6 @@
 #include "coordination/entry/targetstatements.h"
 
+#include "coordination/entry/decidermessages.h"
 #include "coordination/entry/messageage.h"
 #include "coordination/entry/shorthash.h"
 
@@ -267,6 +268,8 @@
     if (!known) {
         peer = { report.incarnation, now, {}, {} };
     }
+    // What a host has decided for itself alone is little; another host that decides for others may go on for a while.
+    const std::uint32_t reporter = processHash(report.host, report.incarnation);
     const auto endsBefore = std::exchange(peer.backOffEnds, {});
     for (const BackOffShare &share : report.backOffs) {
         if (m_items.contains(share.target) || m_items.size() < MaxTargets) {
@@ -293,7 +296,7 @@
                 // Where a host does not decide, only the requests of others use the rate.
                 if (found->second.coldPace && m_share <= 0) {
                     found->second.pacer.refill(*rate, now, ColdPace::BurstSeconds);
-                } else if (found->second.coldPace && grown > 0) {
+                } else if (found->second.coldPace && grown > 0 && share.decider != reporter) {
                     m_inChargeSince = now;
                 }
                 found->second.pacer.spend(grown, *rate);
