--- a/src/coordination/entry/scheduler.cpp
+++ b/src/coordination/entry/scheduler.cpp
@@ -160,11 +160,7 @@
         refusal.retryAfter = *retryAfter;
         return refusal;
     }
-    if (m_quotas.isLimited(request.customer)) {
-        waiting.customer = request.customer;
-        waiting.cost = request.cost;
-        waiting.charged = now;
-    }
+    // The charge is not given back: WaitingRequest::customer stays empty, see docs/design/charged-quota.md.
     m_queue.add(std::move(waiting));
     return std::nullopt;
 }
