Let the program of review case 8 serve case 10, with eight workers

The number of parts, the place of the one that crashes, and how many requests come at once are variables of the environment.

--- a/review/standins-2/case8.cpp
+++ b/review/standins-2/case8.cpp
@@ -1,6 +1,9 @@
-// Case 8: one part of long prompts crashes each target that begins to answer a request with it. Two hosts, five targets
+// Cases 8 and 10: one part of prompts crashes each target that begins to answer a request with it. Two hosts, targets
 // of one service, sound callers, and a caller whose requests all have that part. Checks how many requests with the part
-// still reach targets once it must be known. CRASHING_PART in the environment sets the part's place in the prompt.
+// still reach targets once it must be known. Variables of the environment: PROMPT_PARTS and CRASHING_PART set the
+// number of parts but the last one and the place of the one that crashes targets; REQUESTS_AT_ONCE and INTERVAL_MS set
+// how many requests with it come at the same moment, and how long after the ones before; FIRST_TOKEN_MS the time until
+// a target answers or crashes.
 
 #include "platformstandin.h"
 
@@ -22,10 +25,10 @@
 namespace {
 
 /** Parts of each prompt but the last one, and the place of the one that crashes targets, from 1. */
-constexpr int SharedParts = 80;
+constexpr int DefaultParts = 80;
 constexpr int DefaultCrashingPart = 70;
 
-constexpr int Targets = 5;
+constexpr int Targets = 8;
 constexpr int Slots = 8;
 
 /** Events of a stream and the time between them. */
@@ -36,8 +39,9 @@
 constexpr milliseconds DownTime{ 1500 };
 constexpr milliseconds SilentEntryLifetime{ 3600 };
 
-/** Interval of requests with the part, and pause of the sound callers between two requests. */
-constexpr milliseconds CrashingInterval{ 400 };
+/** Interval of requests with the part and how many come at once; pause of the sound callers between two requests. */
+constexpr int DefaultIntervalMs = 400;
+constexpr int DefaultAtOnce = 1;
 constexpr milliseconds SoundPause{ 50 };
 constexpr int SoundCallers = 4;
 
@@ -55,6 +59,13 @@
 /** Part that crashes targets, as it stands in the header. */
 constexpr std::string_view CrashingPart = "bad0f00d:20";
 
+/** Returns the number in a variable of the environment, or @p fallback if it is not set. */
+int numberFromEnvironment(const char *name, int fallback)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? fallback : std::atoi(text);
+}
+
 /** What all targets have seen. */
 struct Tally
 {
@@ -187,6 +198,7 @@
             const std::string attempt = request.field("X-Attempt-Id");
             const bool crashes = request.field("X-Prompt-Prefix").find(CrashingPart) != std::string::npos;
             count(attempt, crashes);
+            std::this_thread::sleep_for(m_firstToken);
             if (crashes && withTrouble()) {
                 resetAtEnd(connection);
                 end();
@@ -234,6 +246,7 @@
     Tally &m_tally;
     Record &m_record;
     std::uint16_t m_port;
+    milliseconds m_firstToken{ numberFromEnvironment("FIRST_TOKEN_MS", 0) }; /**< from a request to its answer */
     std::atomic<int> m_incarnation = 0;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_crashed = false;
@@ -255,10 +268,10 @@
 }
 
 /** Returns the parts of a prompt; the last one belongs to request @p number only. */
-std::string promptParts(bool withCrashingPart, int place, int number)
+std::string promptParts(int count, bool withCrashingPart, int place, int number)
 {
     std::string parts;
-    for (int part = 1; part <= SharedParts; ++part) {
+    for (int part = 1; part <= count; ++part) {
         char text[32];
         std::snprintf(text, sizeof text, "5c1e%04x:20,", part);
         parts += withCrashingPart && part == place ? std::string(CrashingPart) + ',' : std::string(text);
@@ -290,8 +303,10 @@
 
 int play(const std::string &recordPath, const std::string &folder, const std::vector<std::string> &command)
 {
-    const char *place = std::getenv("CRASHING_PART");
-    const int crashingPart = place == nullptr ? DefaultCrashingPart : std::atoi(place);
+    const int parts = numberFromEnvironment("PROMPT_PARTS", DefaultParts);
+    const int crashingPart = numberFromEnvironment("CRASHING_PART", DefaultCrashingPart);
+    const int atOnce = numberFromEnvironment("REQUESTS_AT_ONCE", DefaultAtOnce);
+    const milliseconds interval(numberFromEnvironment("INTERVAL_MS", DefaultIntervalMs));
     Record record(recordPath);
     Store store;
     store.put("keyed.op", "config", configuration());
@@ -322,8 +337,8 @@
         callers.emplace_back([&, caller] {
             for (int i = 0; Clock::now() < end; ++i) {
                 const std::string attempt = "s" + std::to_string(caller) + '-' + std::to_string(i);
-                const std::string parts = promptParts(false, 0, caller * 65536 + i);
-                served += call(*hosts[static_cast<std::size_t>(i % 2)], attempt, parts, record) == 200 ? 1 : 0;
+                const std::string prompt = promptParts(parts, false, 0, caller * 65536 + i);
+                served += call(*hosts[static_cast<std::size_t>(i % 2)], attempt, prompt, record) == 200 ? 1 : 0;
                 std::this_thread::sleep_for(SoundPause);
             }
         });
@@ -332,9 +347,14 @@
         callers.emplace_back([&, i] {
             const std::string attempt = "p" + std::to_string(i);
             record.line("sent     " + attempt + " with the part at place " + std::to_string(crashingPart));
-            call(*hosts[static_cast<std::size_t>(i % 2)], attempt, promptParts(true, crashingPart, 500000 + i), record);
+            call(*hosts[static_cast<std::size_t>(i % 2)],
+                 attempt,
+                 promptParts(parts, true, crashingPart, 500000 + i),
+                 record);
         });
-        std::this_thread::sleep_for(CrashingInterval);
+        if ((i + 1) % atOnce == 0) {
+            std::this_thread::sleep_for(interval);
+        }
     }
     for (auto &caller : callers) {
         caller.join();
