--- a/review/standins-2/platformstandin.cpp
+++ b/review/standins-2/platformstandin.cpp
@@ -368,6 +368,12 @@
     put(topic, key, {});
 }
 
+void Store::setDownTopic(const std::string &topic)
+{
+    const std::lock_guard lock(m_mutex);
+    m_downTopic = topic;
+}
+
 void Store::serve(Connection &connection)
 {
     Message request;
@@ -379,6 +385,12 @@
     const std::size_t begin = request.startLine.find(' ') + 1;
     const std::string target = request.startLine.substr(begin, request.startLine.rfind(' ') - begin);
     const std::string topic = queryValue(target, "topic");
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_downTopic.empty() && topic == m_downTopic) {
+            return response(503, "application/json", "{}");
+        }
+    }
     if (target.starts_with("/log-newest")) {
         return newest(topic);
     }
--- a/review/standins-2/platformstandin.h
+++ b/review/standins-2/platformstandin.h
@@ -168,6 +168,9 @@
     /** Removes a key. */
     void remove(const std::string &topic, const std::string &key);
 
+    /** Refuses the calls of @p topic with 503 from now on, as its partition is down; none of them if it is empty. */
+    void setDownTopic(const std::string &topic);
+
 private:
     struct KeyedRecord
     {
@@ -184,6 +187,7 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     bool m_stopping = false;
+    std::string m_downTopic;
     std::map<std::string, std::vector<KeyedRecord>> m_topics;
     Server m_server;
 };
