--- a/review/standins-2/case8.cpp
+++ b/review/standins-2/case8.cpp
@@ -36,7 +36,7 @@
 constexpr milliseconds EventInterval{ 20 };
 
 /** Time from a crash until the target is back, and until the store removes its old entry: three heartbeats. */
-constexpr milliseconds DownTime{ 1500 };
+constexpr milliseconds DownTime{ 3000 };
 constexpr milliseconds SilentEntryLifetime{ 3600 };
 
 /** Interval of requests with the part and how many come at once; pause of the sound callers between two requests. */
