--- a/review/standins-2/case6.cpp
+++ b/review/standins-2/case6.cpp
@@ -24,6 +24,9 @@
 constexpr int Kills = 10;
 constexpr milliseconds TimeBetweenKills{ 700 };
 
+/** Delay after which a killed process is started again. */
+constexpr milliseconds RestartDelay{ 200 };
+
 /** Time that callers wait for an answer, and before they send again after a refusal. */
 constexpr milliseconds Deadline{ 9000 };
 constexpr milliseconds RetryPause{ 20 };
@@ -175,7 +178,9 @@
         if (withTrouble()) {
             killed.signal(SIGKILL);
             killed.waitForEnd();
-            record.line("killed   " + killed.name() + ", started again");
+            record.line("killed   " + killed.name());
+            std::this_thread::sleep_for(RestartDelay);
+            record.line("started  " + killed.name());
             killed.start(false);
             ready = killed.waitUntilReady(ReadyTimeout);
         }
