Read all responses in one place

What callers saw: through serve, an interim response (100, 103) of a target was the answer, and the real answer behind it was dropped. The clients for the store, the host list, targets' reports, other hosts and commands took an interim response, a response whose end is not clear (two lengths, an encoding other than chunked) and a 2xx response that ended right after its header for answers.

TargetAttempt (entry) had them all; the TargetConnection of serve knew no interim responses; HttpClient and SyncClient had no rule of their own.

Change: ResponseReader reads the header, skips interim responses, checks the framing, reads the body and says when it is complete. TargetAttempt, the TargetConnection of serve and HttpClient use it.

--- a/src/cli/passthrough.cpp
+++ b/src/cli/passthrough.cpp
@@ -53,7 +53,7 @@
     }
     transport::ResponseHead head;
     head.status = static_cast<int>(connection.head().result_int());
-    head.fields = connection.head().base();
+    head.fields = connection.head();
     head.length = connection.contentLength();
     response.begin(head);
     while (!connection.complete()) {
--- a/src/transport/data/targetconnection.h
+++ b/src/transport/data/targetconnection.h
@@ -2,17 +2,16 @@
 
 #include "state/time.h"
 #include "transport/httpclient.h"
+#include "transport/responsereader.h"
 #include "transport/watchdog.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <memory>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -22,7 +21,7 @@
 enum class TargetIoStatus {
     Ok,
     ConnectionLost, /**< the connection was closed, failed or timed out */
-    Malformed, /**< the target sent something that is not HTTP */
+    Malformed, /**< the target sent something that is not HTTP; see isMalformedResponse() */
 };
 
 /**
@@ -34,7 +33,6 @@
 {
 public:
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
-    using Response = boost::beast::http::response<boost::beast::http::buffer_body>;
 
     TargetConnection(const boost::asio::any_io_executor &executor, std::size_t chunkBytes);
 
@@ -57,38 +55,33 @@
     }
 
     /** Returns the header of the response; valid after readHead(). */
-    const Response &head() const
+    const ResponseReader::Header &head() const
     {
-        return m_parser->get();
+        return m_response->header();
     }
 
     /** Returns the Content-Length of the response, if it has one. */
-    std::optional<std::uint64_t> contentLength() const;
-
-    /** Returns whether only the end of the connection ends the body. */
-    bool endsWithConnection() const
+    std::optional<std::uint64_t> contentLength() const
     {
-        return m_parser->need_eof();
+        return m_response->contentLength();
     }
 
     /** Returns whether the whole response was read. */
     bool complete() const
     {
-        return m_parser && m_parser->is_done();
+        return m_response && m_response->complete();
     }
 
     /** Aborts the running operation and closes the connection. */
     void close();
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
     TargetIoStatus classify(const boost::system::error_code &error) const;
 
     boost::asio::ip::tcp::socket m_socket;
     Watchdog m_watchdog;
     boost::beast::flat_buffer m_buffer;
-    std::unique_ptr<Parser> m_parser;
+    std::optional<ResponseReader> m_response;
     std::vector<char> m_chunk;
     std::size_t m_chunkSize = 0;
     bool m_closed = false;
--- a/src/transport/data/targetexchange.cpp
+++ b/src/transport/data/targetexchange.cpp
@@ -167,10 +167,6 @@
             co_return co_await forwardUnbuffered(std::move(head), std::move(buffered));
         }
     }
-    // A connection that ends right after the header looks the same whether the body is empty or was never sent.
-    if (buffered.empty() && m_connection.endsWithConnection() && m_status / 100 == 2) {
-        co_return interruptedResult("the answer of the target ended before its body");
-    }
     co_return co_await forwardBuffered(head, buffered);
 }
 
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -2,14 +2,12 @@
 
 #include "transport/entry/format.h"
 #include "transport/log.h"
-#include "transport/messageframing.h"
 #include "transport/sockets.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <array>
@@ -34,9 +32,8 @@
 /** Larger bodies are sent while the response is read, because a target may respond before it has read them. */
 constexpr std::size_t LargeBodyBytes = 16384;
 
-/** Largest response that is buffered, and largest response header. */
+/** Largest response that is buffered. */
 constexpr std::size_t MaxResponseBytes = std::size_t{ 8 } * 1024 * 1024;
-constexpr std::uint32_t MaxHeadBytes = 65536;
 
 /** Bytes read at once. */
 constexpr std::size_t ReadBytes = 16384;
@@ -47,9 +44,6 @@
 /** Most characters of a field that cannot be read in the log. */
 constexpr std::size_t MaxLoggedField = 100;
 
-/** Informational (1xx) responses that are accepted before the final one; one or two are usual. */
-constexpr int MaxInformationalResponses = 16;
-
 } // namespace
 
 TargetAttempt::TargetAttempt(ServingContext &context, AttemptTarget target, InactivityTimeouts timeouts)
@@ -83,7 +77,7 @@
     if (!hasHeader) {
         co_return false;
     }
-    const auto &head = m_parser->get();
+    const auto &head = m_reader->header();
     m_response = m_context.codec.decodeResponse(head);
     m_response.notExecuted = m_response.notExecuted && head.result_int() / 100 != 2;
     if (m_response.notExecuted && m_response.attemptId.empty() && !m_firstOnConnection) {
@@ -207,7 +201,7 @@
 
 asio::awaitable<void> TargetAttempt::receiveBody(bool streaming, StreamSink &sink, AttemptResult &result)
 {
-    const auto &head = m_parser->get();
+    const auto &head = m_reader->header();
     const bool success = head.result_int() / 100 == 2;
     if (success && !m_response.hasSignature) {
         result.detail = "2xx response without a signature";
@@ -233,7 +227,7 @@
 {
     using coordination::entry::RateStatement;
     // Another incarnation speaks for itself only.
-    if (m_parser->get().result() == http::status::misdirected_request) {
+    if (m_reader->header().result() == http::status::misdirected_request) {
         return;
     }
     coordination::entry::SelfStatement statement = response.statement;
@@ -298,34 +292,19 @@
 asio::awaitable<bool> TargetAttempt::readHead(const std::string &attemptId, AttemptResult &result)
 {
     int unrelated = 0;
-    int informational = 0;
-    while (unrelated <= MaxUnrelatedResponses && informational <= MaxInformationalResponses) {
+    while (unrelated <= MaxUnrelatedResponses) {
         m_bytes = std::make_shared<ByteBudget::Share>(m_context.responseBytes, [this] {
             m_tooLarge = true;
             abort();
         });
-        m_parser.emplace();
-        m_parser->header_limit(MaxHeadBytes);
-        m_parser->body_limit(boost::none);
-        m_parser->skip(m_isHead);
-        boost::system::error_code error;
-        co_await http::async_read_header(
-            m_connection->socket, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
+        m_reader.emplace(m_connection->socket, m_connection->buffer, m_isHead);
+        const boost::system::error_code error = co_await m_reader->readHeader();
         if (error) {
             result.outcome = AttemptOutcome::Broken;
             result.detail = "receive: " + error.message();
             co_return false;
         }
-        if (m_parser->get().result_int() / 100 == 1) {
-            ++informational;
-            continue;
-        }
-        if (!hasClearFraming(m_parser->get())) {
-            result.outcome = AttemptOutcome::Broken;
-            result.detail = "response without a clear end";
-            co_return false;
-        }
-        const ResponseFields response = m_context.codec.decodeResponse(m_parser->get());
+        const ResponseFields response = m_context.codec.decodeResponse(m_reader->header());
         if (response.attemptId.empty() || response.attemptId == attemptId) {
             co_return true;
         }
@@ -338,8 +317,7 @@
         }
     }
     result.outcome = AttemptOutcome::Broken;
-    result.detail = informational > MaxInformationalResponses ? "too many informational (1xx) responses"
-                                                              : "connection carries responses to other requests";
+    result.detail = "connection carries responses to other requests";
     co_return false;
 }
 
@@ -347,16 +325,9 @@
 asio::awaitable<bool> TargetAttempt::readBodyChunk(std::string &bytes, AttemptResult &result)
 {
     std::array<char, ReadBytes> chunk;
-    auto &body = m_parser->get().body();
-    body.data = chunk.data();
-    body.size = chunk.size();
-    boost::system::error_code error;
-    co_await http::async_read_some(
-        m_connection->socket, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
-    if (error == http::error::need_buffer) {
-        error = {};
-    }
-    bytes.assign(chunk.data(), chunk.size() - body.size);
+    std::size_t size = 0;
+    const boost::system::error_code error = co_await m_reader->readBody(chunk, size);
+    bytes.assign(chunk.data(), size);
     if (error) {
         result.outcome = AttemptOutcome::Broken;
         result.detail = "body: " + error.message();
@@ -369,7 +340,7 @@
 {
     std::string body;
     std::string bytes;
-    while (!m_parser->is_done()) {
+    while (!m_reader->complete()) {
         if (!co_await readBodyChunk(bytes, result)) {
             co_return;
         }
@@ -383,14 +354,8 @@
             co_return;
         }
     }
-    // A connection that ends right after the header looks the same whether the body is empty or was never sent.
-    if (body.empty() && m_parser->need_eof() && m_parser->get().result_int() / 100 == 2) {
-        result.outcome = AttemptOutcome::Broken;
-        result.detail = "response ended before its body, which has no stated length";
-        co_return;
-    }
     Response response;
-    static_cast<http::response_header<> &>(response) = m_parser->get();
+    static_cast<http::response_header<> &>(response) = m_reader->header();
     response.body() = std::move(body);
     const unsigned status = response.result_int();
     result.outcome = status >= 500 ? AttemptOutcome::ServerError : AttemptOutcome::Served;
@@ -416,7 +381,7 @@
     std::string bytes;
     // Only complete events restart the timer, because a stalled target may still send single bytes.
     startInactivityTimer(m_timeouts.firstByte);
-    while (!m_parser->is_done()) {
+    while (!m_reader->complete()) {
         const bool readable = co_await readBodyChunk(bytes, result);
         std::string complete;
         const bool wellFormed = state::handleFailure(
@@ -439,7 +404,7 @@
             abort();
             co_return;
         }
-        const bool ended = readable && m_parser->is_done();
+        const bool ended = m_reader->complete();
         if (ended && wellFormed && !events.insideEvent()) {
             complete += events.incomplete();
         }
@@ -449,14 +414,14 @@
             }
             m_inactivityDeadline.reset();
             // Time for writing to a slow caller does not count as inactivity of the target.
-            if (!co_await sink.writeEvents(m_parser->get(), std::move(complete))) {
+            if (!co_await sink.writeEvents(m_reader->header(), std::move(complete))) {
                 abort();
                 co_return;
             }
             startInactivityTimer(m_timeouts.betweenEvents);
         }
         // The end of the connection alone does not tell a complete stream from one that was cut.
-        const bool cut = ended && (events.insideEvent() || (m_parser->need_eof() && result.events == 0));
+        const bool cut = ended && (events.insideEvent() || (m_reader->endsWithConnection() && result.events == 0));
         if (cut && wellFormed) {
             result.detail = "stream ended inside an event or before the first one";
         }
@@ -478,13 +443,12 @@
 /** Returns the connection to the pool if it can carry another request. */
 void TargetAttempt::returnConnection()
 {
-    const auto &head = m_parser->get();
     const bool cleanEnd = m_connection->buffer.size() == 0 && *m_bodySent && !m_aborted;
     const bool leaves = m_context.scheduler.statements().isLeaving(m_target.hash);
-    if (!cleanEnd || leaves || !m_parser->keep_alive() || m_parser->need_eof()) {
+    if (!cleanEnd || leaves || !m_reader->keepsConnection()) {
         return;
     }
-    m_connection->idleTimeout = keepAliveTimeout(head, DefaultIdleTimeout);
+    m_connection->idleTimeout = keepAliveTimeout(m_reader->header(), DefaultIdleTimeout);
     m_context.pool.release(m_target.id, std::move(m_connection), m_target.maxIdleConnections, m_context.now());
 }
 
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -4,10 +4,9 @@
 #include "protocol/eventstreamparser.h"
 #include "transport/entry/responses.h"
 #include "transport/entry/servingcontext.h"
+#include "transport/responsereader.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/beast/http/buffer_body.hpp>
-#include <boost/beast/http/parser.hpp>
 
 #include <functional>
 #include <memory>
@@ -115,8 +114,6 @@
     }
 
 private:
-    using HeadParser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
     boost::asio::awaitable<bool> send(std::shared_ptr<Request> request, AttemptResult &result);
     boost::asio::awaitable<void> receiveBody(bool streaming, StreamSink &sink, AttemptResult &result);
     boost::asio::awaitable<bool> readHead(const std::string &attemptId, AttemptResult &result);
@@ -136,9 +133,9 @@
     AttemptTarget m_target;
     InactivityTimeouts m_timeouts;
     std::unique_ptr<TargetConnection> m_connection;
-    std::optional<HeadParser> m_parser;
+    std::optional<ResponseReader> m_reader;
     std::shared_ptr<ByteBudget::Share> m_bytes; /**< of the response that is being received */
-    ResponseFields m_response; /**< of the header in the parser */
+    ResponseFields m_response; /**< of the header that was read */
     std::shared_ptr<bool> m_bodySent = std::make_shared<bool>(false);
     std::optional<state::Time> m_inactivityDeadline;
     state::Time m_sentAt{};
--- a/src/transport/httpclient.cpp
+++ b/src/transport/httpclient.cpp
@@ -1,14 +1,12 @@
 #include "transport/httpclient.h"
 
 #include "transport/beaststring.h"
-
+#include "transport/responsereader.h"
 #include "transport/sockets.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -51,7 +49,7 @@
 {
     boost::system::error_code error = co_await ensureConnected();
     if (error) {
-        co_return closeAndFail("connect", error);
+        co_return closeAndFail(ConnectStep, error);
     }
     http::request<http::string_body> request(call.method, call.path, 11, std::move(call.body));
     request.set(http::field::host, toString(m_endpoint));
@@ -64,22 +62,27 @@
     if (error) {
         co_return closeAndFail("send", error);
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(m_maxResponseBytes);
-    co_await http::async_read(m_socket, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    const bool withoutBody = call.method == http::verb::head;
+    ResponseLimits limits;
+    limits.bodyBytes = m_maxResponseBytes;
+    ResponseReader response(m_socket, m_buffer, withoutBody, limits);
+    HttpOutcome outcome;
+    error = co_await response.readHeader();
+    if (!error) {
+        error = co_await response.readWholeBody(outcome.body);
+    }
     if (error) {
         co_return closeAndFail("receive", error);
     }
-    if (!parser.get().keep_alive()) {
+    if (!response.keepsConnection()) {
         close();
     }
-    HttpOutcome outcome;
-    outcome.status = static_cast<int>(parser.get().result_int());
-    const auto field = call.responseField.empty() ? parser.get().end() : parser.get().find(toBeast(call.responseField));
-    if (field != parser.get().end()) {
+    const ResponseReader::Header &header = response.header();
+    outcome.status = static_cast<int>(header.result_int());
+    const auto field = call.responseField.empty() ? header.end() : header.find(toBeast(call.responseField));
+    if (field != header.end()) {
         outcome.field = std::string(toView(field->value()));
     }
-    outcome.body = std::move(parser.get().body());
     co_return outcome;
 }
 
--- a/src/transport/httpclient.h
+++ b/src/transport/httpclient.h
@@ -56,6 +56,9 @@
     /** Largest response body of services that this project trusts; a full page of the log is smaller. */
     static constexpr std::uint64_t DefaultMaxResponseBytes = std::uint64_t{ 64 } * 1024 * 1024;
 
+    /** Step of the failure of a call if no connection was made and hence nothing was sent. */
+    static constexpr const char *ConnectStep = "connect";
+
     HttpClient(const boost::asio::any_io_executor &executor,
                Endpoint endpoint,
                std::uint64_t maxResponseBytes = DefaultMaxResponseBytes);
--- /dev/null
+++ b/src/transport/responsereader.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/system/error_code.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace sapphirecove::transport {
+
+/** Why a server's bytes are not a response, or not a whole one, although the parser accepts them. */
+enum class ResponseError {
+    UnclearEnd = 1, /**< see hasClearFraming() */
+    TooManyInformational, /**< more 1xx responses than a server has reason to send */
+    MissingBody, /**< the connection ended before a body without a stated length */
+};
+
+/** Returns the error code of @p error. */
+boost::system::error_code toErrorCode(ResponseError error);
+
+/** Returns whether @p error says that a server sent bytes that are not HTTP, in contrast to a part of a response. */
+bool isMalformedResponse(const boost::system::error_code &error);
+
+/** Bounds of a response. */
+struct ResponseLimits
+{
+    std::uint32_t headerBytes = 65536;
+    std::optional<std::uint64_t> bodyBytes; /**< not bounded by default */
+};
+
+/**
+ * Reads one response from a connection. All responses of targets, stores and other hosts are read here, so that this
+ * class alone says what a valid response is and when it is complete:
+ *
+ * - The header is HTTP/1.0 or 1.1, and its lines are fields with valid names.
+ * - It is clear where the body ends, see hasClearFraming().
+ * - A body with a length or in chunks has all its bytes. Any other body ends with the connection. Such a body of a
+ *   successful response is not empty, as a connection that ends after the header looks the same.
+ *
+ * All errors are those of the socket, of Beast's parser, or a ResponseError.
+ */
+class ResponseReader
+{
+public:
+    using Header = boost::beast::http::response_header<>;
+
+    /**
+     * Reads from @p socket, and first what @p buffer holds of it; both outlive the reader. With @p withoutBody, the
+     * request asks for a header only.
+     */
+    ResponseReader(boost::asio::ip::tcp::socket &socket,
+                   boost::beast::flat_buffer &buffer,
+                   bool withoutBody,
+                   ResponseLimits limits = {});
+
+    /** Reads the header of the final response; informational (1xx) ones before it are skipped. */
+    boost::asio::awaitable<boost::system::error_code> readHeader();
+
+    /** Reads the next bytes of the body into @p space and sets @p size to their number. Valid until complete(). */
+    boost::asio::awaitable<boost::system::error_code> readBody(std::span<char> space, std::size_t &size);
+
+    /** Reads the rest of the body and appends it to @p body. */
+    boost::asio::awaitable<boost::system::error_code> readWholeBody(std::string &body);
+
+    /** Returns the header; valid after readHeader(). */
+    const Header &header() const
+    {
+        return m_parser->get();
+    }
+
+    /** Returns the length in bytes that the header states; nothing if it states none. */
+    std::optional<std::uint64_t> contentLength() const;
+
+    /** Returns whether the whole response was read. */
+    bool complete() const
+    {
+        return m_complete;
+    }
+
+    /** Returns whether only the end of the connection ends the body. */
+    bool endsWithConnection() const
+    {
+        return m_parser->need_eof();
+    }
+
+    /**
+     * Returns whether the connection can carry another request after the response, as far as the response tells.
+     */
+    bool keepsConnection() const;
+
+private:
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    boost::asio::awaitable<boost::system::error_code> readOneHeader();
+    boost::asio::awaitable<boost::system::error_code> readMore();
+    boost::system::error_code checkEndOfConnection() const;
+
+    boost::asio::ip::tcp::socket &m_socket;
+    boost::beast::flat_buffer &m_buffer;
+    bool m_withoutBody;
+    ResponseLimits m_limits;
+    std::optional<Parser> m_parser;
+    bool m_hasBody = false; /**< a byte of the body was read */
+    bool m_complete = false;
+};
+
+} // namespace sapphirecove::transport
--- a/tests/transport/data/datafixture.h
+++ b/tests/transport/data/datafixture.h
@@ -177,4 +177,20 @@
     return requestText("POST /v1/chat/completions", fields, body);
 }
 
+/** Returns the body of a chunked response; sets @p complete to whether it ended with the last chunk. */
+inline std::string unchunk(const std::string &response, bool &complete)
+{
+    std::string body;
+    complete = false;
+    std::size_t at = response.find("\r\n\r\n") + 4;
+    while (at < response.size()) {
+        const auto size = std::stoul(response.substr(at), nullptr, 16);
+        at = response.find("\r\n", at) + 2;
+        complete = size == 0;
+        body += response.substr(at, size);
+        at += size + 2;
+    }
+    return body;
+}
+
 } // namespace sapphirecove::tests
--- /dev/null
+++ b/tests/transport/data/testbrokenresponses.cpp
@@ -0,0 +1,87 @@
+#include "tests/transport/data/datafixture.h"
+#include "tests/transport/threadedtarget.h"
+
+#include <catch2/catch.hpp>
+
+using namespace sapphirecove;
+using namespace sapphirecove::tests;
+using Catch::Matchers::Contains;
+using Catch::Matchers::EndsWith;
+using Catch::Matchers::StartsWith;
+
+namespace {
+
+constexpr std::string_view ChatAnswer = R"({"choices":[]})";
+
+/** Returns the texts of a service call, a chat call and a streaming chat call. */
+std::vector<std::string> calls()
+{
+    return { requestText("GET /services/orders-app/x", "Connection: close\r\n", ""),
+             chatText(NonStreamingBody, "Connection: close\r\n"),
+             chatText(StreamBody, "Connection: close\r\n") };
+}
+
+/** Sends @p request and returns everything until the connection ends. */
+std::string call(const DataFixture &fixture, std::string_view request)
+{
+    BlockingConnection caller(fixture.port());
+    caller.write(request);
+    return caller.readToEnd();
+}
+
+} // namespace
+
+// Guards against an interim response that the caller gets as the answer.
+TEST_CASE("serve: an informational response is not the answer", "[exchange][broken]")
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Hint: 1\r\n\r\n";
+    SECTION("the answer follows")
+    {
+        ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+            connection.write(interim + "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n" + std::string(ChatAnswer));
+        });
+        DataFixture fixture(dispatchAll(target.port()));
+        for (const std::string &text : calls()) {
+            CHECK_THAT(call(fixture, text), StartsWith("HTTP/1.1 200") && EndsWith(std::string(ChatAnswer)));
+        }
+    }
+    SECTION("none follows")
+    {
+        ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+            connection.write(interim);
+        });
+        DataFixture fixture(dispatchAll(target.port()));
+        CHECK_THAT(call(fixture, calls().front()), StartsWith("HTTP/1.1 502"));
+    }
+    SECTION("they do not end")
+    {
+        ThreadedTarget target([&](const std::string &, BlockingConnection &connection) {
+            constexpr int most = 100'000;
+            for (int i = 0; i < most && connection.tryWrite(interim); ++i) { }
+        });
+        DataFixture fixture(dispatchAll(target.port()));
+        CHECK_THAT(call(fixture, calls().front()), StartsWith("HTTP/1.1 502"));
+    }
+}
+
+// Guards against a rule for broken responses that rejects sound ones.
+TEST_CASE("serve: sound responses of unusual form arrive whole", "[exchange][broken]")
+{
+    for (const std::string &response :
+         { std::string("HTTP/1.1 200 OK\r\n\r\nsound\r\n body"),
+           std::string("HTTP/1.0 200 OK\r\nX-A: 1\r\n\r\nsound\r\n body"),
+           std::string("HTTP/1.1 299 Rare\r\nX-Empty:\r\nContent-Length: 12\r\n\r\nsound\r\n body"),
+           std::string(
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nsound\r\n\r\n5\r\n body\r\n0\r\n\r\n") }) {
+        for (const std::size_t piece : { response.size(), std::size_t{ 1 } }) {
+            INFO(response << "\npiece: " << piece);
+            ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+                for (std::size_t at = 0; at < response.size(); at += piece) {
+                    connection.write(response.substr(at, piece));
+                }
+            });
+            DataFixture fixture(dispatchAll(target.port()));
+            CHECK_THAT(call(fixture, calls().front()), StartsWith("HTTP/1.1 2") && EndsWith("\r\n\r\nsound\r\n body"));
+        }
+    }
+}
--- a/tests/transport/data/testtargetexchange.cpp
+++ b/tests/transport/data/testtargetexchange.cpp
@@ -37,22 +37,6 @@
           "\"prompt_tokens_details\":{\"cached_tokens\":4}}}\n\n";
 }
 
-/** Returns the body of a chunked response; sets @p complete to whether it ended with the last chunk. */
-std::string unchunk(const std::string &response, bool &complete)
-{
-    std::string body;
-    complete = false;
-    std::size_t at = response.find("\r\n\r\n") + 4;
-    while (at < response.size()) {
-        const auto size = std::stoul(response.substr(at), nullptr, 16);
-        at = response.find("\r\n", at) + 2;
-        complete = size == 0;
-        body += response.substr(at, size);
-        at += size + 2;
-    }
-    return body;
-}
-
 std::string chatAndClose(std::uint16_t port, std::string_view body = StreamBody)
 {
     BlockingConnection caller(port);
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -34,6 +34,20 @@
 
 constexpr state::Duration CallTimeout = std::chrono::seconds(10);
 
+/** Calls a server that sends @p response, in pieces of @p pieceBytes, and ends the connection. */
+HttpOutcome callServer(const std::string &response, std::size_t pieceBytes = 100'000)
+{
+    tests::ScriptedTarget server([&](int, const std::string &, tests::BlockingConnection &connection) {
+        for (std::size_t at = 0; at < response.size(); at += pieceBytes) {
+            connection.write(response.substr(at, pieceBytes));
+        }
+    });
+    IoThread thread("test");
+    thread.start();
+    HttpClient client(thread.context().get_executor(), Endpoint{ "127.0.0.1", server.port() });
+    return sendNow(thread, client, post("x"), CallTimeout);
+}
+
 } // namespace
 
 // Guards against a client that reuses a connection which the server has closed and so loses a call.
@@ -111,3 +125,48 @@
     fields.set(http::field::authorization, "Bearer ");
     CHECK(bearerKey(fields).empty());
 }
+
+// Guards against a store, peer or target in trouble whose bytes are taken for its answer: a write that was stored would
+// count as rejected, and records would be read from what is no page.
+TEST_CASE("a response that is none is a failure of the call", "[httpclient][broken]")
+{
+    for (const std::string_view fields : { "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+                                           "Content-Length: 2, 2\r\n\r\nok",
+                                           "Transfer-Encoding: gzip\r\n\r\nok",
+                                           "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" }) {
+        INFO(fields);
+        CHECK(callServer("HTTP/1.1 200 OK\r\n" + std::string(fields)).failure);
+    }
+}
+
+// Guards against a page that is cut and taken for a whole one.
+TEST_CASE("a response that ends early is a failure of the call", "[httpclient][broken]")
+{
+    for (const std::string_view response : { "",
+                                             "HTTP/1.1 200",
+                                             "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+                                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                                             "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                                             "HTTP/1.1 100 Continue\r\n\r\n" }) {
+        INFO(response);
+        CHECK(callServer(std::string(response)).failure);
+    }
+}
+
+// Guards against an interim response that is taken for the answer, and against sound answers that are rejected.
+TEST_CASE("a sound response of unusual form is received whole", "[httpclient][broken]")
+{
+    for (const std::string_view response :
+         { "HTTP/1.1 200 OK\r\n\r\nsound\r\n body",
+           "HTTP/1.0 200 OK\r\nX-A: 1\r\n\r\nsound\r\n body",
+           "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nsound\r\n body",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7\r\nsound\r\n\r\n5\r\n body\r\n0\r\n\r\n" }) {
+        for (const std::size_t pieceBytes : { std::size_t{ 1 }, response.size() }) {
+            INFO(response << "\npiece: " << pieceBytes);
+            const HttpOutcome outcome = callServer(std::string(response), pieceBytes);
+            CHECK(outcome.ok());
+            CHECK(outcome.status == 200);
+            CHECK(outcome.body == "sound\r\n body");
+        }
+    }
+}
--- a/tests/transport/testsyncclient.cpp
+++ b/tests/transport/testsyncclient.cpp
@@ -96,3 +96,21 @@
     CHECK(fetch(server.endpoint(), 10s) == transport::ExchangeStep);
     thread.join();
 }
+
+// Guards against bytes that are no answer and that a command reports as one.
+TEST_CASE("a response that is none is a failure", "[syncclient][broken]")
+{
+    std::vector<std::string> responses;
+    responses.emplace_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok");
+    responses.emplace_back("HTTP/1.1 100 Continue\r\n\r\n");
+    responses.emplace_back("HTTP/1.1 200 OK\r\n\r\n");
+    for (const std::string &response : responses) {
+        INFO(Catch::StringMaker<std::string>::convert(response));
+        SingleResponseServer server;
+        std::thread thread([&] {
+            server.serve(response);
+        });
+        CHECK(fetch(server.endpoint(), 10s) == transport::ExchangeStep);
+        thread.join();
+    }
+}
