Take no response with a status code that does not exist for an answer

What callers saw: a target in trouble sent a response whose status was 000, and the caller got it as the answer: through entry on routes of all kinds, signed or not, with or without the id of the attempt; through serve for service calls, chats and streams. Codes 001, 042, 099, 600, 700 and 999 reached callers in the same way, and 101 through serve. A call of the store that was answered so counted as rejected, though it may have been carried out.

Cause: Beast's parser takes any three digits, and no reader looked at them; what is not 2xx was an error response of the target, to be passed on.

Evidence, new tests on: entry failed in 19 checks (7 codes on a commit route, 000 with three sets of fields on four routes), and a lookup that could have been repeated at another target got 000 in 3 of 6 calls; serve failed in 39 checks (8 codes, three calls); HttpClient and SyncClient took 8 of 10 codes. Handled before: 101 through entry, "20x", "-20", and both resumed streams: a stream goes on with a 2xx response only. Those tests stay as guards.

Change: ResponseReader takes the final status codes of HTTP, 200 to 599. 101 is none, as no request asks for another protocol; what follows it is no response. The attempt ends as broken, like one with bytes that are not HTTP: a request that may be repeated is, within the budget, any other one gets 502; a call of the store has an unknown outcome.

Measured: the [broken] tests pass (12 cases, 487 checks).

--- a/src/transport/responsereader.cpp
+++ b/src/transport/responsereader.cpp
@@ -37,6 +37,8 @@
     std::string message(int value) const override
     {
         switch (static_cast<ResponseError>(value)) {
+        case ResponseError::InvalidStatus:
+            return "status code outside 200 to 599";
         case ResponseError::UnclearEnd:
             return "response without a clear end";
         case ResponseError::TooManyInformational:
@@ -56,11 +58,16 @@
 
 bool isInformational(const ResponseReader::Header &header)
 {
-    return header.result_int() / 100 == 1;
+    // No request asks for another protocol, so that 101 announces bytes that are no response.
+    return header.result_int() / 100 == 1 && header.result() != http::status::switching_protocols;
 }
 
 error_code checkHeader(const ResponseReader::Header &header)
 {
+    const unsigned kind = header.result_int() / 100;
+    if (kind < 2 || kind > 5) {
+        return toErrorCode(ResponseError::InvalidStatus);
+    }
     return hasClearFraming(header) ? error_code() : toErrorCode(ResponseError::UnclearEnd);
 }
 
--- a/tests/transport/data/testbrokenresponses.cpp
+++ b/tests/transport/data/testbrokenresponses.cpp
@@ -1,3 +1,4 @@
+#include "tests/transport/brokenheads.h"
 #include "tests/transport/data/datafixture.h"
 #include "tests/transport/threadedtarget.h"
 
@@ -31,6 +32,23 @@
 
 } // namespace
 
+// Guards against an answer of a target in trouble that is none in HTTP and reaches the caller.
+TEST_CASE("serve: a response with a status code that does not exist reaches no caller", "[exchange][broken]")
+{
+    for (const std::string &code : invalidStatusCodes()) {
+        for (const std::string &text : calls()) {
+            INFO(code << '\n' << text);
+            ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+                connection.write("HTTP/1.1 " + code + " Broken\r\nX-Trace: 1\r\nContent-Length: 14\r\n\r\n"
+                                 + std::string(ChatAnswer));
+            });
+            DataFixture fixture(dispatchAll(target.port()));
+            CHECK_THAT(call(fixture, text), StartsWith("HTTP/1.1 502") && !Contains("X-Trace"));
+            CHECK(fixture.await<coordination::DispatchFinished>().outcome == coordination::GrantOutcome::Failed);
+        }
+    }
+}
+
 // Guards against an interim response that the caller gets as the answer.
 TEST_CASE("serve: an informational response is not the answer", "[exchange][broken]")
 {
@@ -85,3 +103,22 @@
         }
     }
 }
+
+// Guards against the events of a target in trouble: its stream states no valid status, and it is not resumed from one.
+TEST_CASE("serve: a stream is not resumed from a response that is none", "[exchange][broken]")
+{
+    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n" }) {
+        const std::string fields = "Content-Type: text/event-stream\r\n\r\n";
+        ScriptedTarget target([&](int number, const std::string &, BlockingConnection &connection) {
+            if (number == 0) {
+                connection.write("HTTP/1.1 200 OK\r\n" + fields + "id: 1\ndata: {\"choices\":[]}\n\nid: 2");
+            } else {
+                connection.write(std::string(head) + fields + "id: 2\ndata: {\"choices\":[]}\n\ndata: [DONE]\n\n");
+            }
+        });
+        DataFixture fixture(dispatchAll(target.port()));
+        const std::string response = call(fixture, calls().back());
+        CHECK_THAT(response, Contains("id: 1\n") && !Contains("id: 2") && !EndsWith("\r\n0\r\n\r\n"));
+        CHECK(target.requests().size() > 1);
+    }
+}
--- a/tests/transport/entry/testbrokenresponses.cpp
+++ b/tests/transport/entry/testbrokenresponses.cpp
@@ -1,13 +1,127 @@
+#include "tests/transport/brokenheads.h"
 #include "tests/transport/entry/entryfixture.h"
 
 #include <catch2/catch.hpp>
 
+#include <array>
+#include <atomic>
 #include <string>
 
 using namespace sapphirecove;
 using namespace sapphirecove::tests;
 using namespace sapphirecove::tests::entry;
 
+namespace {
+
+constexpr std::string_view EventStream = "Content-Type: text/event-stream\r\n";
+
+/** A call to a route of each kind. */
+struct Call
+{
+    std::string_view path;
+    std::string_view method;
+};
+constexpr std::array Calls{ Call{ CommitPath, "POST" },
+                            Call{ LookupPath, "GET" },
+                            Call{ StreamPath, "GET" },
+                            Call{ NonResumableStreamPath, "GET" } };
+
+std::string idOf(const std::string &request)
+{
+    constexpr std::string_view name = "X-Attempt-Id: ";
+    const std::size_t at = request.find(name) + name.size();
+    return request.substr(at, request.find('\r', at) - at);
+}
+
+std::string signedFields(const std::string &id)
+{
+    return "X-Attempt-Id: " + id + "\r\n" + std::string(Seal);
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) + "\n\n";
+}
+
+std::string wholeResponse(const std::string &request)
+{
+    return "HTTP/1.1 200 OK\r\n" + signedFields(idOf(request)) + "Content-Length: 5\r\n\r\nwhole";
+}
+
+} // namespace
+
+// Guards against an answer of a target in trouble that is none in HTTP and reaches the caller.
+TEST_CASE("a response with a status code that does not exist reaches no caller", "[entry][host][broken]")
+{
+    const auto check = [](const std::string &code, const std::string &fields, const Call &call) {
+        INFO(code << ' ' << call.path << '\n' << fields);
+        ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+            connection.write("HTTP/1.1 " + code + " Broken\r\n" + fields + std::string(EventStream)
+                             + "Content-Length: " + std::to_string(event(1).size()) + "\r\n\r\n" + event(1));
+        });
+        EntryFixture fixture({ target.port() });
+        CHECK_THAT(fixture.call(call.path, "a1", call.method),
+                   Catch::StartsWith("HTTP/1.1 502") && !Catch::Contains("data: e1"));
+        CHECK(target.requests().size() == 1);
+    };
+    for (const std::string &code : invalidStatusCodes()) {
+        check(code, signedFields("a1"), Calls.front());
+    }
+    for (const std::string &fields : { signedFields("a1"), std::string("X-Attempt-Id: a1\r\n"), std::string() }) {
+        for (const Call &call : Calls) {
+            check("000", fields, call);
+        }
+    }
+}
+
+// Guards against a broken answer on a connection that is used again, and against one that ends a repeatable request.
+TEST_CASE("a request that may be repeated is answered by another target after a broken response",
+          "[entry][host][broken]")
+{
+    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n" }) {
+        std::atomic<int> broken = 0;
+        const auto script = [&](int, const std::string &first, BlockingConnection &connection) {
+            connection.write(wholeResponse(first));
+            const std::string request = connection.readRequest();
+            if (request.empty()) {
+                return;
+            }
+            ++broken;
+            connection.write(std::string(head) + signedFields(idOf(request)) + "Content-Length: 3\r\n\r\nbad");
+        };
+        ScriptedTarget one(script);
+        ScriptedTarget two(script);
+        EntryFixture fixture({ one.port(), two.port() });
+        for (int i = 0; i < 6; ++i) {
+            const std::string id = "a" + std::to_string(i);
+            CHECK_THAT(fixture.call(LookupPath, id), Catch::StartsWith("HTTP/1.1 200") && Catch::EndsWith("whole"));
+        }
+        CHECK(broken > 0);
+    }
+}
+
+// Guards against a stream that goes on with the answer of a target in trouble.
+TEST_CASE("a resumed stream takes no event from a response that is none", "[entry][host][broken]")
+{
+    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n" }) {
+        std::atomic<int> requests = 0;
+        const auto script = [&](int, const std::string &request, BlockingConnection &connection) {
+            const std::string fields = signedFields(idOf(request)) + std::string(EventStream);
+            if (requests++ == 0) {
+                connection.write("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + event(1) + "id: 2\nda");
+            } else {
+                connection.write(std::string(head) + fields + "\r\n" + event(2));
+            }
+        };
+        ScriptedTarget one(script);
+        ScriptedTarget two(script);
+        EntryFixture fixture({ one.port(), two.port() });
+        const std::string response = fixture.call(StreamPath);
+        CHECK(requests == 2);
+        CHECK_THAT(response, Catch::Contains(event(1)) && !Catch::Contains("e2") && !Catch::EndsWith("0\r\n\r\n"));
+    }
+}
+
 // Guards against a rule for broken responses that rejects sound ones.
 TEST_CASE("sound responses of unusual form arrive whole", "[entry][host][broken]")
 {
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -1,3 +1,4 @@
+#include "tests/transport/brokenheads.h"
 #include "tests/transport/loopback.h"
 #include "transport/httpclient.h"
 #include "transport/httpserver.h"
@@ -130,6 +131,10 @@
 // count as rejected, and records would be read from what is no page.
 TEST_CASE("a response that is none is a failure of the call", "[httpclient][broken]")
 {
+    for (const std::string &code : tests::invalidStatusCodes()) {
+        INFO(code);
+        CHECK(callServer("HTTP/1.1 " + code + " Broken\r\nContent-Length: 2\r\n\r\nok").failure);
+    }
     for (const std::string_view fields : { "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
                                            "Content-Length: 2, 2\r\n\r\nok",
                                            "Transfer-Encoding: gzip\r\n\r\nok",
--- a/tests/transport/testsyncclient.cpp
+++ b/tests/transport/testsyncclient.cpp
@@ -1,3 +1,4 @@
+#include "tests/transport/brokenheads.h"
 #include "transport/syncclient.h"
 
 #include <boost/asio/connect.hpp>
@@ -101,6 +102,9 @@
 TEST_CASE("a response that is none is a failure", "[syncclient][broken]")
 {
     std::vector<std::string> responses;
+    for (const std::string &code : tests::invalidStatusCodes()) {
+        responses.push_back("HTTP/1.1 " + code + " Broken\r\nContent-Length: 2\r\n\r\nok");
+    }
     responses.emplace_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok");
     responses.emplace_back("HTTP/1.1 100 Continue\r\n\r\n");
     responses.emplace_back("HTTP/1.1 200 OK\r\n\r\n");
