Take no response with a folded line in its header for an answer

What callers saw: a target in trouble sent a header with a line that begins with a blank or a tab, such as " Content-Length: 2" or " Transfer-Encoding: chunked". The caller got the response with that line joined to the field before it, and a body whose end the line contradicts for those who read it as a field.

Cause: Beast's parser takes such a line for the continuation of the one before it (obs-fold of RFC 9112, section 5.2), and no reader sees the line break any more.

Evidence, new tests on: of 23 lines with a blank or a control byte in the name of a field, the 6 that begin with a blank reached callers when a field stood before them: 10 checks through entry (6 lines on a commit route, one line on four routes), 18 through serve (6 lines, three calls), 6 at HttpClient and at SyncClient each. A lookup that could have been repeated got such a response in 3 of 6 calls, and a stream was resumed from one, through entry and serve. Handled before, by the parser, on all paths: a blank or a control byte within or behind a name, and such a line at the start of the header.

Change: ResponseReader looks at the lines that the parser is about to take and rejects a response with a folded one, also an interim one. RFC 9112 lets a gateway do so; the other way, to join the lines, is what let two readers differ. ResponseReader feeds the header to the parser itself, so that it sees the lines.

--- a/src/transport/responsereader.cpp
+++ b/src/transport/responsereader.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <string_view>
 #include <utility>
 
 namespace sapphirecove::transport {
@@ -39,6 +40,8 @@
         switch (static_cast<ResponseError>(value)) {
         case ResponseError::InvalidStatus:
             return "status code outside 200 to 599";
+        case ResponseError::FoldedField:
+            return "line of the header that begins with a blank";
         case ResponseError::UnclearEnd:
             return "response without a clear end";
         case ResponseError::TooManyInformational:
@@ -56,6 +59,20 @@
     return Category;
 }
 
+/** Returns whether one of the lines at the start of @p unparsed continues the line before it (obs-fold). */
+bool hasFoldedLine(std::string_view unparsed)
+{
+    // The parser takes whole lines, so that what it has left begins with a line; an empty one ends the header.
+    constexpr std::string_view lineEnd = "\r\n";
+    for (std::size_t end = unparsed.find(lineEnd); end != 0 && end != unparsed.npos; end = unparsed.find(lineEnd)) {
+        unparsed.remove_prefix(end + lineEnd.size());
+        if (unparsed.starts_with(' ') || unparsed.starts_with('\t')) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool isInformational(const ResponseReader::Header &header)
 {
     // No request asks for another protocol, so that 101 announces bytes that are no response.
@@ -121,6 +138,10 @@
     m_parser->skip(m_withoutBody);
     while (!m_parser->is_header_done()) {
         error_code error;
+        const std::string_view unparsed(static_cast<const char *>(m_buffer.data().data()), m_buffer.size());
+        if (hasFoldedLine(unparsed)) {
+            co_return toErrorCode(ResponseError::FoldedField);
+        }
         m_buffer.consume(m_parser->put(m_buffer.data(), error));
         if (error == http::error::need_more) {
             error = co_await readMore();
--- a/src/transport/responsereader.h
+++ b/src/transport/responsereader.h
@@ -19,6 +19,7 @@
 /** Why a server's bytes are not a response, or not a whole one, although the parser accepts them. */
 enum class ResponseError {
     InvalidStatus = 1, /**< the status code is not that of a final response */
+    FoldedField, /**< a line of the header begins with a blank */
     UnclearEnd, /**< see hasClearFraming() */
     TooManyInformational, /**< more 1xx responses than a server has reason to send */
     MissingBody, /**< the connection ended before a body without a stated length */
@@ -41,7 +42,8 @@
  * Reads one response from a connection. All responses of targets, stores and other hosts are read here, so that this
  * class alone says what a valid response is and when it is complete:
  *
- * - The header is HTTP/1.0 or 1.1, its status code is 200 to 599, and its lines are fields with valid names.
+ * - The header is HTTP/1.0 or 1.1, its status code is 200 to 599, and its lines are fields with valid names. Lines that
+ *   begin with a blank (obs-fold) are rejected, as RFC 9112, section 5.2 allows: others read them as fields.
  * - It is clear where the body ends, see hasClearFraming().
  * - A body with a length or in chunks has all its bytes. Any other body ends with the connection. Such a body of a
  *   successful response is not empty, as a connection that ends after the header looks the same.
--- a/tests/transport/data/testbrokenresponses.cpp
+++ b/tests/transport/data/testbrokenresponses.cpp
@@ -49,6 +49,24 @@
     }
 }
 
+// Guards against a line that this host, its target or the caller read as different fields.
+TEST_CASE("serve: a response with a blank or control byte in the name of a field reaches no caller",
+          "[exchange][broken]")
+{
+    const std::vector<std::string> lines = invalidFieldLines();
+    for (const std::string &line : lines) {
+        for (const std::string &text : calls()) {
+            INFO(Catch::StringMaker<std::string>::convert(line) << '\n' << text);
+            ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+                connection.write("HTTP/1.1 200 OK\r\nX-A: 1\r\n" + line + "\r\n\r\n" + std::string(ChatAnswer));
+            });
+            DataFixture fixture(dispatchAll(target.port()));
+            CHECK_THAT(call(fixture, text),
+                       StartsWith("HTTP/1.1 502") && !Contains("Trace") && !Contains(std::string(ChatAnswer)));
+        }
+    }
+}
+
 // Guards against an interim response that the caller gets as the answer.
 TEST_CASE("serve: an informational response is not the answer", "[exchange][broken]")
 {
@@ -107,7 +125,7 @@
 // Guards against the events of a target in trouble: its stream states no valid status, and it is not resumed from one.
 TEST_CASE("serve: a stream is not resumed from a response that is none", "[exchange][broken]")
 {
-    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n" }) {
+    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n", "HTTP/1.1 200 OK\r\nX-A: 1\r\n X-B: 2\r\n" }) {
         const std::string fields = "Content-Type: text/event-stream\r\n\r\n";
         ScriptedTarget target([&](int number, const std::string &, BlockingConnection &connection) {
             if (number == 0) {
--- a/tests/transport/entry/testbrokenresponses.cpp
+++ b/tests/transport/entry/testbrokenresponses.cpp
@@ -78,7 +78,7 @@
 TEST_CASE("a request that may be repeated is answered by another target after a broken response",
           "[entry][host][broken]")
 {
-    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n" }) {
+    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n", "HTTP/1.1 200 OK\r\nX-A: 1\r\n X-B: 2\r\n" }) {
         std::atomic<int> broken = 0;
         const auto script = [&](int, const std::string &first, BlockingConnection &connection) {
             connection.write(wholeResponse(first));
@@ -103,7 +103,7 @@
 // Guards against a stream that goes on with the answer of a target in trouble.
 TEST_CASE("a resumed stream takes no event from a response that is none", "[entry][host][broken]")
 {
-    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n" }) {
+    for (const std::string_view head : { "HTTP/1.1 000 Broken\r\n", "HTTP/1.1 200 OK\r\nX-A: 1\r\n X-B: 2\r\n" }) {
         std::atomic<int> requests = 0;
         const auto script = [&](int, const std::string &request, BlockingConnection &connection) {
             const std::string fields = signedFields(idOf(request)) + std::string(EventStream);
@@ -122,6 +122,31 @@
     }
 }
 
+// Guards against a line that this host, its target or the caller read as different fields.
+TEST_CASE("a response with a blank or control byte in the name of a field reaches no caller", "[entry][host][broken]")
+{
+    const auto check = [](const std::string &line, bool first, const Call &call) {
+        INFO(Catch::StringMaker<std::string>::convert(line) << " first: " << first << ' ' << call.path);
+        const std::string fields = signedFields("a1") + std::string(EventStream);
+        ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+            connection.write("HTTP/1.1 200 OK\r\n" + (first ? line + "\r\n" + fields : fields + line + "\r\n") + "\r\n"
+                             + event(1));
+        });
+        EntryFixture fixture({ target.port() });
+        CHECK_THAT(fixture.call(call.path, "a1", call.method),
+                   Catch::StartsWith("HTTP/1.1 502") && !Catch::Contains("Trace") && !Catch::Contains("data: e1"));
+    };
+    for (const std::string &line : invalidFieldLines()) {
+        check(line, true, Calls.front());
+        check(line, false, Calls.front());
+    }
+    for (const std::string line : { "\tContent-Length: 2", "X-\x01Trace: 1" }) {
+        for (const Call &call : Calls) {
+            check(line, false, call);
+        }
+    }
+}
+
 // Guards against a rule for broken responses that rejects sound ones.
 TEST_CASE("sound responses of unusual form arrive whole", "[entry][host][broken]")
 {
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -135,6 +135,10 @@
         INFO(code);
         CHECK(callServer("HTTP/1.1 " + code + " Broken\r\nContent-Length: 2\r\n\r\nok").failure);
     }
+    for (const std::string &line : tests::invalidFieldLines()) {
+        INFO(Catch::StringMaker<std::string>::convert(line));
+        CHECK(callServer("HTTP/1.1 200 OK\r\nX-A: 1\r\n" + line + "\r\n\r\nok").failure);
+    }
     for (const std::string_view fields : { "Content-Length: 2\r\nContent-Length: 2\r\n\r\nok",
                                            "Content-Length: 2, 2\r\n\r\nok",
                                            "Transfer-Encoding: gzip\r\n\r\nok",
--- a/tests/transport/testsyncclient.cpp
+++ b/tests/transport/testsyncclient.cpp
@@ -105,6 +105,9 @@
     for (const std::string &code : tests::invalidStatusCodes()) {
         responses.push_back("HTTP/1.1 " + code + " Broken\r\nContent-Length: 2\r\n\r\nok");
     }
+    for (const std::string &line : tests::invalidFieldLines()) {
+        responses.push_back("HTTP/1.1 200 OK\r\nX-A: 1\r\n" + line + "\r\n\r\nok");
+    }
     responses.emplace_back("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok");
     responses.emplace_back("HTTP/1.1 100 Continue\r\n\r\n");
     responses.emplace_back("HTTP/1.1 200 OK\r\n\r\n");
