Take no body that a reset cuts short for a whole one

What callers saw: a target answered a long upload at once with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as the complete answer. The same happened where the target closed the connection without having read the upload, and with event streams, which got their last chunk.

Cause: the system reports the failure of a connection once, to whichever of a pending write and a pending read asks first; the other one sees an ordinary end. Asio completes the write first. In entry the write of the request runs beside the read, so that it took the ECONNRESET; only whether it had succeeded was kept, for the reuse of the connection. In serve the write is awaited first and its error was dropped on purpose, as a target may respond before it closes. In both, the read then got the end that ends a body without a length.

Evidence: EarlyAnswerTarget reads the header only, into a receive buffer of 4 KiB, and ends the connection while most of 4 MB (entry) or 7 MB (serve) are unread. Handled before, kept as guards: whole responses without a length whose target ends its side and reads on, or resets the connection later, on both paths; bodies with a length or in chunks; HttpClient and SyncClient, which fail a call when its write does.

Change: whoever writes a request keeps the result in a RequestWrite, and ResponseReader asks it when the end of the connection ends a body. An error other than EPIPE means that the connection failed before the server had ended its side. The reader gives way once to a write that has failed but whose handler is still queued.

--- a/src/transport/data/targetconnection.cpp
+++ b/src/transport/data/targetconnection.cpp
@@ -37,6 +37,7 @@
     }
     m_closed = false;
     m_buffer.clear();
+    m_request = std::make_shared<RequestWrite>();
     m_watchdog.arm(limit);
     const asio::ip::tcp::endpoint address(ip, endpoint.port);
     co_await m_socket.async_connect(address, asio::redirect_error(asio::use_awaitable, error));
@@ -59,12 +60,13 @@
     m_watchdog.arm(InactivityTimeout);
     co_await http::async_write(m_socket, request, asio::redirect_error(asio::use_awaitable, error));
     m_watchdog.disarm();
+    *m_request = { true, error };
     co_return classify(error);
 }
 
 asio::awaitable<TargetIoStatus> TargetConnection::readHead(state::Duration limit, bool withoutBody)
 {
-    m_response.emplace(m_socket, m_buffer, withoutBody);
+    m_response.emplace(m_socket, m_buffer, m_request, withoutBody);
     m_watchdog.arm(std::min(limit, InactivityTimeout));
     const auto error = co_await m_response->readHeader();
     m_watchdog.disarm();
--- a/src/transport/data/targetconnection.h
+++ b/src/transport/data/targetconnection.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -39,7 +40,7 @@
     /** Connects to @p endpoint; fails with a time-out after @p limit. */
     boost::asio::awaitable<boost::system::error_code> connect(const Endpoint &endpoint, state::Duration limit);
 
-    /** Sends @p request; after an error, a part of it may have been sent. */
+    /** Sends @p request; after an error, a part of it may have been sent, and its response may have arrived. */
     boost::asio::awaitable<TargetIoStatus> send(const Request &request);
 
     /** Reads the header of the response within @p limit; @p withoutBody is set for the response to a HEAD request. */
@@ -81,6 +82,7 @@
     boost::asio::ip::tcp::socket m_socket;
     Watchdog m_watchdog;
     boost::beast::flat_buffer m_buffer;
+    std::shared_ptr<RequestWrite> m_request; /**< write of the request on the current connection */
     std::optional<ResponseReader> m_response;
     std::vector<char> m_chunk;
     std::size_t m_chunkSize = 0;
--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -180,17 +180,17 @@
     result.mayHaveRun = true;
     startInactivityTimer(m_timeouts.firstByte);
     if (request->body().size() > LargeBodyBytes) {
-        // The request and the flag outlive this attempt, the socket does not: the write then ends with an error.
-        auto sent = m_bodySent;
+        // The request and the progress outlive this attempt, the socket does not: the write then ends with an error.
+        auto write = m_requestWrite;
         auto *socket = &m_connection->socket;
-        http::async_write(*socket, *request, [request, sent](const boost::system::error_code &error, std::size_t) {
-            *sent = !error;
+        http::async_write(*socket, *request, [request, write](const boost::system::error_code &error, std::size_t) {
+            *write = { true, error };
         });
         co_return true;
     }
     boost::system::error_code error;
     co_await http::async_write(m_connection->socket, *request, asio::redirect_error(asio::use_awaitable, error));
-    *m_bodySent = !error;
+    *m_requestWrite = { true, error };
     if (error) {
         result.outcome = AttemptOutcome::Broken;
         result.detail = "send: " + error.message();
@@ -297,7 +297,7 @@
             m_tooLarge = true;
             abort();
         });
-        m_reader.emplace(m_connection->socket, m_connection->buffer, m_isHead);
+        m_reader.emplace(m_connection->socket, m_connection->buffer, m_requestWrite, m_isHead);
         const boost::system::error_code error = co_await m_reader->readHeader();
         if (error) {
             result.outcome = AttemptOutcome::Broken;
@@ -443,9 +443,8 @@
 /** Returns the connection to the pool if it can carry another request. */
 void TargetAttempt::returnConnection()
 {
-    const bool cleanEnd = m_connection->buffer.size() == 0 && *m_bodySent && !m_aborted;
     const bool leaves = m_context.scheduler.statements().isLeaving(m_target.hash);
-    if (!cleanEnd || leaves || !m_reader->keepsConnection()) {
+    if (m_aborted || m_connection->buffer.size() > 0 || leaves || !m_reader->keepsConnection()) {
         return;
     }
     m_connection->idleTimeout = keepAliveTimeout(m_reader->header(), DefaultIdleTimeout);
--- a/src/transport/entry/targetattempt.h
+++ b/src/transport/entry/targetattempt.h
@@ -136,7 +136,7 @@
     std::optional<ResponseReader> m_reader;
     std::shared_ptr<ByteBudget::Share> m_bytes; /**< of the response that is being received */
     ResponseFields m_response; /**< of the header that was read */
-    std::shared_ptr<bool> m_bodySent = std::make_shared<bool>(false);
+    std::shared_ptr<RequestWrite> m_requestWrite = std::make_shared<RequestWrite>();
     std::optional<state::Time> m_inactivityDeadline;
     state::Time m_sentAt{};
     bool m_isHead = false; /**< the request asks for the header of a response only */
--- a/src/transport/httpclient.cpp
+++ b/src/transport/httpclient.cpp
@@ -65,7 +65,8 @@
     const bool withoutBody = call.method == http::verb::head;
     ResponseLimits limits;
     limits.bodyBytes = m_maxResponseBytes;
-    ResponseReader response(m_socket, m_buffer, withoutBody, limits);
+    ResponseReader response(
+        m_socket, m_buffer, std::make_shared<RequestWrite>(RequestWrite{ true, {} }), withoutBody, limits);
     HttpOutcome outcome;
     error = co_await response.readHeader();
     if (!error) {
--- a/src/transport/responsereader.cpp
+++ b/src/transport/responsereader.cpp
@@ -3,6 +3,7 @@
 #include "transport/messageframing.h"
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/read_size.hpp>
@@ -48,6 +49,8 @@
             return "too many informational (1xx) responses";
         case ResponseError::MissingBody:
             return "response ended before its body, which has no stated length";
+        case ResponseError::ConnectionFailed:
+            return "connection failed in a body without a stated length";
         }
         return "unknown error";
     }
@@ -98,7 +101,8 @@
 bool isMalformedResponse(const error_code &error)
 {
     if (error.category() == responseCategory()) {
-        return error != toErrorCode(ResponseError::MissingBody);
+        return error != toErrorCode(ResponseError::MissingBody)
+            && error != toErrorCode(ResponseError::ConnectionFailed);
     }
     const bool ended = error == http::error::end_of_stream || error == http::error::partial_message;
     return !ended && error.category() == http::make_error_code(http::error::bad_version).category();
@@ -106,10 +110,12 @@
 
 ResponseReader::ResponseReader(asio::ip::tcp::socket &socket,
                                beast::flat_buffer &buffer,
+                               std::shared_ptr<const RequestWrite> request,
                                bool withoutBody,
                                ResponseLimits limits)
     : m_socket(socket)
     , m_buffer(buffer)
+    , m_request(std::move(request))
     , m_withoutBody(withoutBody)
     , m_limits(limits)
 {
@@ -184,7 +190,7 @@
         error = {};
     }
     if (!error && m_parser->is_done() && endsWithConnection()) {
-        error = checkEndOfConnection();
+        error = co_await checkEndOfConnection();
     }
     m_complete = !error && m_parser->is_done();
     co_return error;
@@ -204,10 +210,20 @@
 }
 
 /** Returns why the end of the connection does not end the body; no error if it does. */
-error_code ResponseReader::checkEndOfConnection() const
+asio::awaitable<error_code> ResponseReader::checkEndOfConnection()
 {
+    if (!m_request->ended) {
+        // The write may have failed before this read, and its handler may still be queued.
+        co_await asio::post(m_socket.get_executor(), asio::use_awaitable);
+    }
+    // The system reports the failure of a connection once, to a write or to a read; the other one then sees an ordinary
+    // end. A write that fails after the server has ended its side gets broken_pipe.
+    const error_code written = m_request->error;
+    if (written && written != asio::error::broken_pipe) {
+        co_return toErrorCode(ResponseError::ConnectionFailed);
+    }
     const bool success = header().result_int() / 100 == 2;
-    return success && !m_hasBody ? toErrorCode(ResponseError::MissingBody) : error_code();
+    co_return success && !m_hasBody ? toErrorCode(ResponseError::MissingBody) : error_code();
 }
 
 std::optional<std::uint64_t> ResponseReader::contentLength() const
@@ -218,7 +234,8 @@
 
 bool ResponseReader::keepsConnection() const
 {
-    return m_parser->keep_alive() && !endsWithConnection();
+    const bool requestSent = m_request->ended && !m_request->error;
+    return requestSent && m_parser->keep_alive() && !endsWithConnection();
 }
 
 } // namespace sapphirecove::transport
--- a/src/transport/responsereader.h
+++ b/src/transport/responsereader.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -23,6 +24,7 @@
     UnclearEnd, /**< see hasClearFraming() */
     TooManyInformational, /**< more 1xx responses than a server has reason to send */
     MissingBody, /**< the connection ended before a body without a stated length */
+    ConnectionFailed, /**< the connection failed in a body that only its end ends */
 };
 
 /** Returns the error code of @p error. */
@@ -31,6 +33,13 @@
 /** Returns whether @p error says that a server sent bytes that are not HTTP, in contrast to a part of a response. */
 bool isMalformedResponse(const boost::system::error_code &error);
 
+/** Progress of the write of a request. Shared, as the write may outlive whoever reads the response. */
+struct RequestWrite
+{
+    bool ended = false;
+    boost::system::error_code error; /**< of a write that has ended */
+};
+
 /** Bounds of a response. */
 struct ResponseLimits
 {
@@ -45,8 +54,9 @@
  * - The header is HTTP/1.0 or 1.1, its status code is 200 to 599, and its lines are fields with valid names. Lines that
  *   begin with a blank (obs-fold) are rejected, as RFC 9112, section 5.2 allows: others read them as fields.
  * - It is clear where the body ends, see hasClearFraming().
- * - A body with a length or in chunks has all its bytes. Any other body ends with the connection. Such a body of a
- *   successful response is not empty, as a connection that ends after the header looks the same.
+ * - A body with a length or in chunks has all its bytes. Any other body ends where the server ends its side of the
+ *   connection; a failure of the connection does not end it, also when it was reported to the write of the request.
+ *   Such a body of a successful response is not empty, as a connection that ends after the header looks the same.
  *
  * All errors are those of the socket, of Beast's parser, or a ResponseError.
  */
@@ -56,11 +66,12 @@
     using Header = boost::beast::http::response_header<>;
 
     /**
-     * Reads from @p socket, and first what @p buffer holds of it; both outlive the reader. With @p withoutBody, the
-     * request asks for a header only.
+     * Reads from @p socket, and first what @p buffer holds of it; both outlive the reader. @p request is the write of
+     * the request. With @p withoutBody, the request asks for a header only.
      */
     ResponseReader(boost::asio::ip::tcp::socket &socket,
                    boost::beast::flat_buffer &buffer,
+                   std::shared_ptr<const RequestWrite> request,
                    bool withoutBody,
                    ResponseLimits limits = {});
 
@@ -95,7 +106,8 @@
     }
 
     /**
-     * Returns whether the connection can carry another request after the response, as far as the response tells.
+     * Returns whether the connection can carry another request after the response, as far as the response and the write
+     * of the request tell.
      */
     bool keepsConnection() const;
 
@@ -104,10 +116,11 @@
 
     boost::asio::awaitable<boost::system::error_code> readOneHeader();
     boost::asio::awaitable<boost::system::error_code> readMore();
-    boost::system::error_code checkEndOfConnection() const;
+    boost::asio::awaitable<boost::system::error_code> checkEndOfConnection();
 
     boost::asio::ip::tcp::socket &m_socket;
     boost::beast::flat_buffer &m_buffer;
+    std::shared_ptr<const RequestWrite> m_request;
     bool m_withoutBody;
     ResponseLimits m_limits;
     std::optional<Parser> m_parser;
--- a/tests/transport/data/testbrokenresponses.cpp
+++ b/tests/transport/data/testbrokenresponses.cpp
@@ -1,5 +1,6 @@
 #include "tests/transport/brokenheads.h"
 #include "tests/transport/data/datafixture.h"
+#include "tests/transport/earlyanswertarget.h"
 #include "tests/transport/threadedtarget.h"
 
 #include <catch2/catch.hpp>
@@ -14,6 +15,9 @@
 
 constexpr std::string_view ChatAnswer = R"({"choices":[]})";
 
+/** Bytes of a body that exceed the buffers of two sockets and stay below the limit for bodies. */
+constexpr std::size_t UploadBytes = 7'000'000;
+
 /** Returns the texts of a service call, a chat call and a streaming chat call. */
 std::vector<std::string> calls()
 {
@@ -30,6 +34,17 @@
     return caller.readToEnd();
 }
 
+/** Returns the body of @p response; sets @p complete to whether its caller takes it for the whole one. */
+std::string bodyOf(const std::string &response, bool &complete)
+{
+    if (response.find("Transfer-Encoding: chunked") != std::string::npos) {
+        return unchunk(response, complete);
+    }
+    const std::string body = response.substr(response.find("\r\n\r\n") + 4);
+    complete = response.find("Content-Length: " + std::to_string(body.size()) + "\r\n") != std::string::npos;
+    return body;
+}
+
 } // namespace
 
 // Guards against an answer of a target in trouble that is none in HTTP and reaches the caller.
@@ -100,6 +115,54 @@
     }
 }
 
+// Guards against a part of a body without a length that passes for the whole one, as the reset of the connection was
+// reported to the write of the request only.
+TEST_CASE("serve: a response that is reset while the request is still sent is not complete",
+          "[exchange][broken][upload]")
+{
+    // The second part does not fit into the buffer for responses and is forwarded while it arrives.
+    for (const std::string &part : { std::string("a part of the body"), std::string(200'000, 'p') }) {
+        for (const ConnectionEnd end : { ConnectionEnd::Reset, ConnectionEnd::CloseWithUnreadInput }) {
+            INFO("bytes: " << part.size() << " end: " << static_cast<int>(end));
+            EarlyAnswerTarget target(EarlyAnswerTarget::withoutLength("X-A: 1\r\n", part), end);
+            DataFixture fixture(dispatchAll(target.port()));
+            const std::string body(UploadBytes, 'u');
+            const std::string response =
+                call(fixture, requestText("POST /services/orders-app/x", "Connection: close\r\n", body));
+            bool complete = false;
+            const std::string received = bodyOf(response, complete);
+            CHECK((response.starts_with("HTTP/1.1 502") || !complete));
+            CHECK(received != part);
+            CHECK(target.answered() == 1);
+            CHECK(fixture.await<coordination::DispatchFinished>().outcome == coordination::GrantOutcome::Interrupted);
+        }
+    }
+}
+
+// Guards against a whole response that is taken for a broken one, as its target does not read the rest of the request.
+TEST_CASE("serve: a response without a length that ends while the request is still sent arrives whole",
+          "[exchange][broken][upload]")
+{
+    for (const ConnectionEnd end : { ConnectionEnd::EndOfData, ConnectionEnd::EndOfDataThenReset }) {
+        for (const std::string &whole : { std::string("the whole body"), std::string(200'000, 'p') }) {
+            if (end == ConnectionEnd::EndOfDataThenReset && whole.size() > 1000) {
+                continue; // The reset overtakes the end of a body that the host does not read meanwhile.
+            }
+            INFO("bytes: " << whole.size() << " end: " << static_cast<int>(end));
+            EarlyAnswerTarget target(EarlyAnswerTarget::withoutLength("X-A: 1\r\n", whole), end);
+            DataFixture fixture(dispatchAll(target.port()));
+            const std::string body(UploadBytes, 'u');
+            const std::string response =
+                call(fixture, requestText("POST /services/orders-app/x", "Connection: close\r\n", body));
+            bool complete = false;
+            CHECK(response.starts_with("HTTP/1.1 200"));
+            CHECK(bodyOf(response, complete) == whole);
+            CHECK(complete);
+            CHECK(fixture.await<coordination::DispatchFinished>().outcome == coordination::GrantOutcome::Complete);
+        }
+    }
+}
+
 // Guards against a rule for broken responses that rejects sound ones.
 TEST_CASE("serve: sound responses of unusual form arrive whole", "[exchange][broken]")
 {
--- a/tests/transport/entry/testbrokenresponses.cpp
+++ b/tests/transport/entry/testbrokenresponses.cpp
@@ -1,4 +1,5 @@
 #include "tests/transport/brokenheads.h"
+#include "tests/transport/earlyanswertarget.h"
 #include "tests/transport/entry/entryfixture.h"
 
 #include <catch2/catch.hpp>
@@ -15,6 +16,9 @@
 
 constexpr std::string_view EventStream = "Content-Type: text/event-stream\r\n";
 
+/** Bytes of a body that exceed the buffers of two sockets and stay below the limit for bodies. */
+constexpr std::size_t UploadBytes = 4'000'000;
+
 /** A call to a route of each kind. */
 struct Call
 {
@@ -48,6 +52,17 @@
     return "HTTP/1.1 200 OK\r\n" + signedFields(idOf(request)) + "Content-Length: 5\r\n\r\nwhole";
 }
 
+/** Sends a request with a long body and returns everything until the connection ends. */
+std::string upload(const EntryFixture &fixture, std::string_view path)
+{
+    BlockingConnection caller(fixture.settings().callers.port);
+    caller.write("POST " + std::string(path)
+                 + "x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 3000\r\nX-Api-Key: k1\r\n"
+                   "Connection: close\r\nContent-Length: "
+                 + std::to_string(UploadBytes) + "\r\n\r\n" + std::string(UploadBytes, 'u'));
+    return caller.readToEnd();
+}
+
 } // namespace
 
 // Guards against an answer of a target in trouble that is none in HTTP and reaches the caller.
@@ -147,6 +162,52 @@
     }
 }
 
+// Guards against a part of a body without a length that passes for the whole one, as the reset of the connection was
+// reported to the write of the request only.
+TEST_CASE("a response that is reset while the request is still sent is not complete", "[entry][host][broken][upload]")
+{
+    for (const ConnectionEnd end : { ConnectionEnd::Reset, ConnectionEnd::CloseWithUnreadInput }) {
+        for (const std::string_view path : { CommitPath, LookupPath }) {
+            INFO(path << " end: " << static_cast<int>(end));
+            EarlyAnswerTarget target(EarlyAnswerTarget::withoutLength(signedFields("a1"), "a part of the body"), end);
+            EntryFixture fixture({ target.port() });
+            const std::string response = upload(fixture, path);
+            CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 502") && !Catch::Contains("a part of the body"));
+            CHECK(target.answered() == 1);
+        }
+        for (const std::string_view path : { StreamPath, NonResumableStreamPath }) {
+            INFO(path << " end: " << static_cast<int>(end));
+            const std::string fields = signedFields("a1") + std::string(EventStream);
+            EarlyAnswerTarget target(EarlyAnswerTarget::withoutLength(fields, event(1) + event(2)), end);
+            EntryFixture fixture({ target.port() });
+            const std::string response = upload(fixture, path);
+            CHECK_THAT(response, Catch::Contains(event(1) + event(2)) && !Catch::EndsWith("0\r\n\r\n"));
+            CHECK(target.answered() == 1);
+        }
+    }
+}
+
+// Guards against a whole response that is taken for a broken one, as its target does not read the rest of the request.
+TEST_CASE("a response without a length that ends while the request is still sent arrives whole",
+          "[entry][host][broken][upload]")
+{
+    for (const ConnectionEnd end : { ConnectionEnd::EndOfData, ConnectionEnd::EndOfDataThenReset }) {
+        INFO("end: " << static_cast<int>(end));
+        {
+            EarlyAnswerTarget target(EarlyAnswerTarget::withoutLength(signedFields("a1"), "the whole body"), end);
+            EntryFixture fixture({ target.port() });
+            CHECK_THAT(upload(fixture, CommitPath),
+                       Catch::StartsWith("HTTP/1.1 200") && Catch::EndsWith("\r\n\r\nthe whole body"));
+        }
+        const std::string fields = signedFields("a1") + std::string(EventStream);
+        EarlyAnswerTarget target(EarlyAnswerTarget::withoutLength(fields, event(1) + event(2)), end);
+        EntryFixture fixture({ target.port() });
+        CHECK_THAT(upload(fixture, NonResumableStreamPath),
+                   Catch::StartsWith("HTTP/1.1 200") && Catch::Contains(event(1) + event(2))
+                       && Catch::EndsWith("\r\n0\r\n\r\n"));
+    }
+}
+
 // Guards against a rule for broken responses that rejects sound ones.
 TEST_CASE("sound responses of unusual form arrive whole", "[entry][host][broken]")
 {
