Pass no fields of a trailer on as those of the header

What callers saw: a target in trouble put lines behind the last chunk of its response, and the caller got them as fields of the header, such as Retry-After.

Cause: Beast's parser adds the fields of a trailer to the header that it holds, and TargetAttempt copied that header when the body was complete. RFC 9110, section 6.5.1, forbids to merge them unless the field allows it.

Handled before: through serve, which copies the header before it reads the body, and trailers whose names are invalid, which the parser rejects.

Change: ResponseReader takes the header from the parser before the body is read, and drops trailers.

--- a/src/transport/responsereader.cpp
+++ b/src/transport/responsereader.cpp
@@ -128,9 +128,11 @@
         if (error) {
             co_return error;
         }
-        if (!isInformational(header())) {
+        // The parser adds the fields of a trailer to the header that it holds.
+        m_header = std::move(m_parser->get().base());
+        if (!isInformational(m_header)) {
             m_complete = m_parser->is_done();
-            co_return checkHeader(header());
+            co_return checkHeader(m_header);
         }
     }
     co_return toErrorCode(ResponseError::TooManyInformational);
@@ -222,7 +224,7 @@
     if (written && written != asio::error::broken_pipe) {
         co_return toErrorCode(ResponseError::ConnectionFailed);
     }
-    const bool success = header().result_int() / 100 == 2;
+    const bool success = m_header.result_int() / 100 == 2;
     co_return success && !m_hasBody ? toErrorCode(ResponseError::MissingBody) : error_code();
 }
 
--- a/src/transport/responsereader.h
+++ b/src/transport/responsereader.h
@@ -53,7 +53,7 @@
  *
  * - The header is HTTP/1.0 or 1.1, its status code is 200 to 599, and its lines are fields with valid names. Lines that
  *   begin with a blank (obs-fold) are rejected, as RFC 9112, section 5.2 allows: others read them as fields.
- * - It is clear where the body ends, see hasClearFraming().
+ * - It is clear where the body ends, see hasClearFraming(). Fields of a trailer are dropped.
  * - A body with a length or in chunks has all its bytes. Any other body ends where the server ends its side of the
  *   connection; a failure of the connection does not end it, also when it was reported to the write of the request.
  *   Such a body of a successful response is not empty, as a connection that ends after the header looks the same.
@@ -87,7 +87,7 @@
     /** Returns the header; valid after readHeader(). */
     const Header &header() const
     {
-        return m_parser->get();
+        return m_header;
     }
 
     /** Returns the length in bytes that the header states; nothing if it states none. */
@@ -124,6 +124,7 @@
     bool m_withoutBody;
     ResponseLimits m_limits;
     std::optional<Parser> m_parser;
+    Header m_header;
     bool m_hasBody = false; /**< a byte of the body was read */
     bool m_complete = false;
 };
--- a/tests/transport/data/testbrokenresponses.cpp
+++ b/tests/transport/data/testbrokenresponses.cpp
@@ -115,6 +115,18 @@
     }
 }
 
+// Guards against lines of a trailer that become fields of the header.
+TEST_CASE("serve: a trailer becomes no part of the header", "[exchange][broken]")
+{
+    ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                         "X-A: 1\r\n X-Trace: 1\r\n\r\n");
+    });
+    DataFixture fixture(dispatchAll(target.port()));
+    CHECK_THAT(call(fixture, calls().front()),
+               StartsWith("HTTP/1.1 200") && EndsWith("\r\n\r\nok") && !Contains("X-A") && !Contains("Trace"));
+}
+
 // Guards against a part of a body without a length that passes for the whole one, as the reset of the connection was
 // reported to the write of the request only.
 TEST_CASE("serve: a response that is reset while the request is still sent is not complete",
--- a/tests/transport/entry/testbrokenresponses.cpp
+++ b/tests/transport/entry/testbrokenresponses.cpp
@@ -162,6 +162,31 @@
     }
 }
 
+// Guards against lines of a trailer that become fields of the header.
+TEST_CASE("a trailer becomes no part of the header", "[entry][host][broken]")
+{
+    const auto callWithTrailer = [](std::string_view lines) {
+        ScriptedTarget target([&](int, const std::string &, BlockingConnection &connection) {
+            connection.write("HTTP/1.1 200 OK\r\n" + signedFields("a1")
+                             + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" + std::string(lines) + "\r\n");
+        });
+        EntryFixture fixture({ target.port() });
+        return fixture.call(CommitPath, "a1", "POST");
+    };
+    for (const std::string_view lines :
+         { "X-Trace: 1\r\n", "X-A: 1\r\n X-Trace: 1\r\n", "Connection: X-Server-Seal\r\n", "Retry-After: 9\r\n" }) {
+        INFO(lines);
+        CHECK_THAT(callWithTrailer(lines),
+                   Catch::StartsWith("HTTP/1.1 200") && Catch::Contains(std::string(Seal))
+                       && Catch::EndsWith("\r\n\r\nok") && !Catch::Contains("Trace")
+                       && !Catch::Contains("Retry-After"));
+    }
+    for (const std::string_view lines : { "X-Trace : 1\r\n", "X-\x01Trace: 1\r\n" }) {
+        INFO(lines);
+        CHECK_THAT(callWithTrailer(lines), Catch::StartsWith("HTTP/1.1 502") && !Catch::Contains("Trace"));
+    }
+}
+
 // Guards against a part of a body without a length that passes for the whole one, as the reset of the connection was
 // reported to the write of the request only.
 TEST_CASE("a response that is reset while the request is still sent is not complete", "[entry][host][broken][upload]")
