Take no bytes behind a response for the answer to the next call

What was seen: bytes that a store, a host of the list or another host sent behind its response were taken for the answer to the next call on the connection, say an old page for a newer one. Callers saw no such bytes of targets.

Cause: HttpClient used a kept connection again if nothing was unread in its socket, but did not look into its own buffer. TargetAttempt had that check beside its reader, and serve uses each connection once.

Evidence, new test on: "bytes behind a response belong to no call" failed in 2 of 3 calls: the second one got the bytes behind the first response, the third one the answer to the second.

Change: ResponseReader says whether the connection can carry another request: the request was sent, nothing has arrived behind the response, and the response keeps the connection. TargetAttempt and HttpClient ask it.

--- a/src/transport/entry/targetattempt.cpp
+++ b/src/transport/entry/targetattempt.cpp
@@ -444,7 +444,7 @@
 void TargetAttempt::returnConnection()
 {
     const bool leaves = m_context.scheduler.statements().isLeaving(m_target.hash);
-    if (m_aborted || m_connection->buffer.size() > 0 || leaves || !m_reader->keepsConnection()) {
+    if (m_aborted || leaves || !m_reader->keepsConnection()) {
         return;
     }
     m_connection->idleTimeout = keepAliveTimeout(m_reader->header(), DefaultIdleTimeout);
--- a/src/transport/responsereader.cpp
+++ b/src/transport/responsereader.cpp
@@ -237,7 +237,7 @@
 bool ResponseReader::keepsConnection() const
 {
     const bool requestSent = m_request->ended && !m_request->error;
-    return requestSent && m_parser->keep_alive() && !endsWithConnection();
+    return requestSent && m_parser->keep_alive() && !endsWithConnection() && m_buffer.size() == 0;
 }
 
 } // namespace sapphirecove::transport
--- a/src/transport/responsereader.h
+++ b/src/transport/responsereader.h
@@ -106,8 +106,8 @@
     }
 
     /**
-     * Returns whether the connection can carry another request after the response, as far as the response and the write
-     * of the request tell.
+     * Returns whether the connection can carry another request after the response: the request was sent, and nothing
+     * has arrived behind the response. Valid while the connection exists.
      */
     bool keepsConnection() const;
 
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -148,6 +148,24 @@
     }
 }
 
+// Guards against bytes behind a response that are taken for the answer to the next call.
+TEST_CASE("bytes behind a response belong to no call", "[httpclient][broken]")
+{
+    tests::ScriptedTarget server([](int number, const std::string &, tests::BlockingConnection &connection) {
+        const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+        connection.write(response + std::to_string(number) + response + 'x');
+        connection.readUntil("\r\n\r\n");
+    });
+    IoThread thread("test");
+    thread.start();
+    HttpClient client(thread.context().get_executor(), Endpoint{ "127.0.0.1", server.port() });
+    for (int i = 0; i < 3; ++i) {
+        const HttpOutcome outcome = sendNow(thread, client, post("x"), CallTimeout);
+        REQUIRE(outcome.ok());
+        CHECK(outcome.body == std::to_string(i));
+    }
+}
+
 // Guards against a page that is cut and taken for a whole one.
 TEST_CASE("a response that ends early is a failure of the call", "[httpclient][broken]")
 {
