Add guards for resets at streams of serve and at HttpClient

A stream of serve needs its end marker, however its connection ends, and a call of HttpClient fails when its write does.

--- a/tests/transport/data/testbrokenresponses.cpp
+++ b/tests/transport/data/testbrokenresponses.cpp
@@ -151,6 +151,24 @@
     }
 }
 
+// Guards against a stream whose reset looks like its end.
+TEST_CASE("serve: a stream that is reset while the request is still sent is not complete", "[exchange][broken][upload]")
+{
+    const std::string event = "data: {\"choices\":[]}\n\n";
+    const std::string body = R"({"model":"layout","stream":true,"messages":[{"role":"user","content":")"
+        + std::string(UploadBytes, 'u') + R"("}]})";
+    for (const ConnectionEnd end : { ConnectionEnd::Reset, ConnectionEnd::CloseWithUnreadInput }) {
+        INFO("end: " << static_cast<int>(end));
+        EarlyAnswerTarget target(EarlyAnswerTarget::withoutLength("Content-Type: text/event-stream\r\n", event), end);
+        DataFixture fixture(dispatchAll(target.port()));
+        bool complete = true;
+        const std::string received = bodyOf(call(fixture, chatText(body, "Connection: close\r\n")), complete);
+        CHECK_THAT(received, StartsWith(event) && Contains("event: error"));
+        CHECK_FALSE(complete);
+        CHECK(target.answered() == 1);
+    }
+}
+
 // Guards against a whole response that is taken for a broken one, as its target does not read the rest of the request.
 TEST_CASE("serve: a response without a length that ends while the request is still sent arrives whole",
           "[exchange][broken][upload]")
--- a/tests/transport/testhttpclient.cpp
+++ b/tests/transport/testhttpclient.cpp
@@ -1,4 +1,5 @@
 #include "tests/transport/brokenheads.h"
+#include "tests/transport/earlyanswertarget.h"
 #include "tests/transport/loopback.h"
 #include "transport/httpclient.h"
 #include "transport/httpserver.h"
@@ -148,6 +149,22 @@
     }
 }
 
+// Guards against a part of a page that passes for the whole one.
+TEST_CASE("a response that is reset while the call is still sent is a failure of the call",
+          "[httpclient][broken][upload]")
+{
+    for (const tests::ConnectionEnd end : { tests::ConnectionEnd::Reset, tests::ConnectionEnd::CloseWithUnreadInput }) {
+        INFO("end: " << static_cast<int>(end));
+        tests::EarlyAnswerTarget server(tests::EarlyAnswerTarget::withoutLength("X-A: 1\r\n", "a part of the body"),
+                                        end);
+        IoThread thread("test");
+        thread.start();
+        HttpClient client(thread.context().get_executor(), Endpoint{ "127.0.0.1", server.port() });
+        CHECK(sendNow(thread, client, post(std::string(7'000'000, 'u')), CallTimeout).failure);
+        CHECK(server.answered() == 1);
+    }
+}
+
 // Guards against bytes behind a response that are taken for the answer to the next call.
 TEST_CASE("bytes behind a response belong to no call", "[httpclient][broken]")
 {
