Let the target of early answers use the threaded one

Callers see nothing new. EarlyAnswerTarget repeated the acceptor and the threads of ThreadedTarget; it is now a script for one that reads the header only, into a small receive buffer.

Evidence that the moment is still met: a trial without the check of the write fails in 8 checks of entry and 10 of serve, as did with the target before.

--- a/src/transport/responsereader.h
+++ b/src/transport/responsereader.h
@@ -78,7 +78,8 @@
     /** Reads the header of the final response; informational (1xx) ones before it are skipped. */
     boost::asio::awaitable<boost::system::error_code> readHeader();
 
-    /** Reads the next bytes of the body into @p space and sets @p size to their number. Valid until complete(). */
+    /** Reads the next bytes of the body into @p space and sets @p size to their number. To be called until complete().
+     */
     boost::asio::awaitable<boost::system::error_code> readBody(std::span<char> space, std::size_t &size);
 
     /** Reads the rest of the body and appends it to @p body. */
--- a/tests/transport/earlyanswertarget.h
+++ b/tests/transport/earlyanswertarget.h
@@ -1,12 +1,9 @@
 #pragma once
 
-#include "tests/transport/loopback.h"
+#include "tests/transport/threadedtarget.h"
 
 #include <atomic>
-#include <list>
-#include <mutex>
 #include <string>
-#include <vector>
 
 namespace sapphirecove::tests {
 
@@ -28,35 +25,17 @@
     EarlyAnswerTarget(std::string response, ConnectionEnd end)
         : m_response(std::move(response))
         , m_end(end)
-        , m_acceptor(m_context)
+        , m_target(
+              [this](const std::string &, BlockingConnection &connection) {
+                  answer(connection);
+              },
+              ThreadedTarget::Input::HeaderOnly)
     {
-        const tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), 0);
-        m_acceptor.open(endpoint.protocol());
-        m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
-        m_acceptor.bind(endpoint);
-        m_acceptor.listen();
-        m_port = m_acceptor.local_endpoint().port();
-        m_thread = std::thread([this] {
-            run();
-        });
     }
 
-    ~EarlyAnswerTarget()
-    {
-        m_stopping = true;
-        BlockingConnection wake(m_port);
-        m_thread.join();
-        for (auto &thread : m_connections) {
-            thread.join();
-        }
-    }
-
-    EarlyAnswerTarget(const EarlyAnswerTarget &) = delete;
-    EarlyAnswerTarget &operator=(const EarlyAnswerTarget &) = delete;
-
     std::uint16_t port() const
     {
-        return m_port;
+        return m_target.port();
     }
 
     /** Returns how many requests were answered. */
@@ -72,59 +51,31 @@
     }
 
 private:
-    static constexpr int ReceiveBufferBytes = 4096;
-
     /** Time in which the caller's write comes to a stop, or in which it reads what was sent to it. */
     static constexpr std::chrono::milliseconds SettlingTime{ 100 };
 
-    void run()
-    {
-        for (;;) {
-            tcp::socket socket = m_acceptor.accept();
-            if (m_stopping) {
-                return;
-            }
-            m_connections.emplace_back([this, connection = std::make_shared<BlockingConnection>(std::move(socket))] {
-                if (connection->readUntil("\r\n\r\n").ends_with("\r\n\r\n")) {
-                    answer(*connection);
-                }
-            });
-        }
-    }
-
     void answer(BlockingConnection &connection)
     {
         std::this_thread::sleep_for(SettlingTime);
         connection.write(m_response);
         std::this_thread::sleep_for(SettlingTime);
         ++m_answered;
-        switch (m_end) {
-        case ConnectionEnd::Reset:
-            connection.reset();
-            return;
-        case ConnectionEnd::CloseWithUnreadInput:
-            connection.close();
-            return;
-        case ConnectionEnd::EndOfData:
+        if (m_end == ConnectionEnd::EndOfData || m_end == ConnectionEnd::EndOfDataThenReset) {
             connection.closeForWriting();
+        }
+        if (m_end == ConnectionEnd::EndOfData) {
             connection.readToEnd();
-            return;
-        case ConnectionEnd::EndOfDataThenReset:
-            connection.closeForWriting();
+        }
+        if (m_end == ConnectionEnd::Reset || m_end == ConnectionEnd::EndOfDataThenReset) {
             connection.reset();
-            return;
         }
+        connection.close();
     }
 
     std::string m_response;
     ConnectionEnd m_end;
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::uint16_t m_port = 0;
-    std::atomic<bool> m_stopping = false;
     std::atomic<int> m_answered = 0;
-    std::list<std::thread> m_connections; /**< used by the accepting thread, and after its end */
-    std::thread m_thread;
+    ThreadedTarget m_target;
 };
 
 } // namespace sapphirecove::tests
--- a/tests/transport/threadedtarget.h
+++ b/tests/transport/threadedtarget.h
@@ -14,9 +14,16 @@
 public:
     using Script = std::function<void(const std::string &request, BlockingConnection &connection)>;
 
-    explicit ThreadedTarget(Script script)
+    /** What is read of a request before the script runs. */
+    enum class Input {
+        WholeRequest,
+        HeaderOnly, /**< with a small receive buffer, so that the caller's write of a long body is not completed */
+    };
+
+    explicit ThreadedTarget(Script script, Input input = Input::WholeRequest)
         : m_script(std::move(script))
-        , m_acceptor(m_context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , m_input(input)
+        , m_acceptor(listen(m_context, input))
         , m_port(m_acceptor.local_endpoint().port())
         , m_thread([this] {
             run();
@@ -48,6 +55,24 @@
     }
 
 private:
+    static tcp::acceptor listen(boost::asio::io_context &context, Input input)
+    {
+        constexpr int smallBufferBytes = 4096;
+        const tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), 0);
+        tcp::acceptor acceptor(context, endpoint.protocol());
+        if (input == Input::HeaderOnly) {
+            acceptor.set_option(boost::asio::socket_base::receive_buffer_size(smallBufferBytes));
+        }
+        acceptor.bind(endpoint);
+        acceptor.listen();
+        return acceptor;
+    }
+
+    std::string readRequest(BlockingConnection &connection) const
+    {
+        return m_input == Input::HeaderOnly ? connection.readUntil("\r\n\r\n") : connection.readRequestHead();
+    }
+
     void run()
     {
         for (;;) {
@@ -56,7 +81,7 @@
                 return;
             }
             m_connections.emplace_back([this, connection = std::make_shared<BlockingConnection>(std::move(socket))] {
-                const std::string request = connection->readRequestHead();
+                const std::string request = readRequest(*connection);
                 if (!request.empty()) {
                     m_script(request, *connection);
                 }
@@ -65,6 +90,7 @@
     }
 
     Script m_script;
+    Input m_input;
     boost::asio::io_context m_context;
     tcp::acceptor m_acceptor;
     std::uint16_t m_port;
