Bind what hosts say of each other to the process that it is about

Cause: a host numbers its requests from 1 after each start, and a DecisionReply named its request by this number alone. The decider keeps what a killed process waited for up to 900 ms; the next process took the decision for one about its own request. The same class: replies to reports echoed a clock that a reboot sets back, late reports of an earlier process replaced those of the present one, and updates and lists of active requests counted for another process of the decider than the one that had placed them.

Change: replies name the process that asked, updates the process that decided, and each is checked in FleetScheduler::received(). ProcessRegistry tells late messages of replaced processes. The decider forgets what such a process waited for as soon as its successor speaks. Before it sends, a host compares the target's service with that of the request, which needs no message.

--- a/src/coordination/entry/decidermessages.h
+++ b/src/coordination/entry/decidermessages.h
@@ -47,6 +47,7 @@
 
     std::string decider; /**< name of the host */
     std::uint64_t deciderIncarnation = 0;
+    std::uint64_t requesterIncarnation = 0; /**< of the process that asked; its successor has requests of its own */
     std::int64_t requestSent = 0; /**< DecisionRequest::sent of the first request that the decider got */
     state::Duration held{}; /**< from that request to the decision, by the decider's clock */
     state::Duration targetsAge{}; /**< of the decider's list of targets at the decision */
@@ -65,6 +66,7 @@
 
     std::string host;
     std::uint64_t incarnation = 0;
+    std::uint32_t decider = 0; /**< processHash() of the process that decided; 0 for any process of the host */
     std::uint64_t request = 0; /**< the requester's id */
     Kind kind = Kind::Finished;
     AttemptOutcome outcome = AttemptOutcome::Abandoned;
@@ -76,6 +78,7 @@
 {
     std::string host;
     std::uint64_t incarnation = 0;
+    std::uint64_t reporterIncarnation = 0; /**< of the process that reported; clocks of others don't compare */
     std::int64_t reportSentAt = 0; /**< PeerReport::reportSentAt of the answered report */
     bool canDecide = false; /**< knows the targets and takes decision requests */
     bool qualified = false; /**< gets reports of most hosts that it knows, and its list of targets is current */
--- a/src/coordination/entry/fleetscheduler.cpp
+++ b/src/coordination/entry/fleetscheduler.cpp
@@ -20,6 +20,9 @@
 /** Time after a pause during which this host does not decide for others; all hosts send a report within it. */
 constexpr state::Duration PauseRecovery = std::chrono::milliseconds(700);
 
+/** AttemptUpdate::decider of a withdrawal, as the decider may not have answered yet. */
+constexpr std::uint32_t AnyProcess = 0;
+
 /** Interval at which quota usage is updated for replies to reports. */
 constexpr state::Duration ShareInterval = std::chrono::milliseconds(200);
 
@@ -57,7 +60,7 @@
     m_promptTokens.erase(id);
     m_scheduler.withdraw(id, now);
     if (const auto decider = m_pendingDecisions.remove(id)) {
-        sendUpdate(*decider, id, AttemptUpdate::Kind::Withdrawn);
+        sendUpdate(*decider, AnyProcess, id, AttemptUpdate::Kind::Withdrawn);
     }
     decide(now);
 }
@@ -72,7 +75,7 @@
     if (found->second.decider.empty()) {
         m_scheduler.firstEvent(id, now);
     } else {
-        sendUpdate(found->second.decider, id, AttemptUpdate::Kind::FirstEvent);
+        sendUpdate(found->second.decider, found->second.deciderHash, id, AttemptUpdate::Kind::FirstEvent);
     }
 }
 
@@ -85,56 +88,78 @@
     const Active active = std::move(found->second);
     m_active.erase(found);
     if (!active.decider.empty()) {
-        sendUpdate(active.decider, id, AttemptUpdate::Kind::Finished, outcome, events);
+        sendUpdate(active.decider, active.deciderHash, id, AttemptUpdate::Kind::Finished, outcome, events);
         return;
     }
     m_scheduler.finished(id, outcome, events, now);
     decide(now);
 }
 
-void FleetScheduler::received(const DecisionRequest &message, state::Time now)
+bool FleetScheduler::received(const DecisionRequest &message, state::Time now)
 {
     detectPause(now);
+    const HostProcess &requester = message.requester;
+    switch (m_scheduler.peers().processes().heard(requester.host, requester.incarnation, now)) {
+    case ProcessRegistry::Sender::Ended:
+        return false;
+    case ProcessRegistry::Sender::Successor:
+        m_remoteRequests.dropPredecessors(requester.host, requester.incarnation, now);
+        break;
+    case ProcessRegistry::Sender::Current:
+        break;
+    }
     // While the store refuses this host, other hosts may know that a target is leaving.
     const auto decider = m_directory.decider(now);
     const bool otherQualified = !qualified(now) && decider && *decider != m_self.host;
     if (!canDecide(now) || otherQualified) {
         m_link.send(m_remoteRequests.decline(message, now));
-        return;
+        return true;
     }
     m_link.send(m_remoteRequests.handleRequest(message, FirstRemoteId + ++m_lastRemoteId, now));
     decide(now);
+    return true;
 }
 
-void FleetScheduler::received(const DecisionReply &reply, state::Time now)
+bool FleetScheduler::received(const DecisionReply &reply, state::Time now)
 {
+    if (reply.requesterIncarnation != m_self.incarnation) {
+        return false;
+    }
     const std::uint64_t id = reply.decision.request;
+    const std::uint32_t decider = processHash(reply.decider, reply.deciderIncarnation);
     if (auto decision = m_pendingDecisions.handleReply(reply.decider, reply, oldestTargets(now), now)) {
         if (!decision->refusal) {
-            begin(*decision, reply.decider, processHash(reply.decider, reply.deciderIncarnation), now);
+            begin(*decision, reply.decider, decider, now);
         }
         m_promptTokens.erase(id);
         decision->decider = reply.decider;
         m_link.decided(std::move(*decision));
-        return;
+        return true;
     }
     const bool placed = reply.state == DecisionReply::State::Decided && !reply.decision.refusal;
     const auto active = m_active.find(id);
-    const bool isDuplicate = active != m_active.end() && active->second.decider == reply.decider;
+    const bool isDuplicate = active != m_active.end() && active->second.deciderHash == decider;
     if (placed && !isDuplicate && !m_promptTokens.contains(id)) {
-        sendUpdate(reply.decider, id, AttemptUpdate::Kind::Finished);
+        sendUpdate(reply.decider, decider, id, AttemptUpdate::Kind::Finished);
     }
+    return true;
 }
 
-void FleetScheduler::received(const AttemptUpdate &update, state::Time now)
+bool FleetScheduler::received(const AttemptUpdate &update, state::Time now)
 {
     detectPause(now);
-    m_remoteRequests.handleUpdate(update, now);
+    if (!m_remoteRequests.handleUpdate(update, now)) {
+        return false;
+    }
     decide(now);
+    return true;
 }
 
-void FleetScheduler::received(const ReportReply &reply, state::Time now)
+bool FleetScheduler::received(const ReportReply &reply, state::Time now)
 {
+    if (reply.reporterIncarnation != m_self.incarnation) {
+        return false;
+    }
     m_directory.reportAnswered(reply, state::timeFromMicroseconds(reply.reportSentAt));
     m_scheduler.statements().merge(reply.statements, now);
     m_scheduler.suspects().merge(reply.suspects, now);
@@ -143,6 +168,7 @@
     if (!reply.quotas.empty() && !m_directory.isCandidate(now) && !isActiveDecider(now)) {
         m_scheduler.quotas().raiseUseTo(reply.quotas, now);
     }
+    return true;
 }
 
 void FleetScheduler::received(const PeerReport &report, state::Time now)
@@ -163,6 +189,7 @@
     ReportReply reply;
     reply.host = m_self.host;
     reply.incarnation = m_self.incarnation;
+    reply.reporterIncarnation = report.incarnation;
     reply.reportSentAt = report.reportSentAt;
     reply.canDecide = canDecide(now);
     reply.qualified = qualified(now);
@@ -259,7 +286,7 @@
     auto due = m_pendingDecisions.collectDue(
         m_directory, m_self.host, m_targetsKnown && now >= m_pausedUntil && mayPlace(now), now);
     for (const auto &withdrawal : due.withdrawals) {
-        sendUpdate(withdrawal.decider, withdrawal.request, AttemptUpdate::Kind::Withdrawn);
+        sendUpdate(withdrawal.decider, AnyProcess, withdrawal.request, AttemptUpdate::Kind::Withdrawn);
     }
     for (auto &send : due.sends) {
         if (const KnownHost *host = m_directory.find(send.decider)) {
@@ -275,13 +302,15 @@
 }
 
 void FleetScheduler::sendUpdate(const std::string &decider,
+                                std::uint32_t deciderHash,
                                 std::uint64_t request,
                                 AttemptUpdate::Kind kind,
                                 AttemptOutcome outcome,
                                 std::uint32_t events)
 {
     if (const KnownHost *host = m_directory.find(decider)) {
-        m_link.send(AttemptUpdate{ m_self.host, m_self.incarnation, request, kind, outcome, events }, *host);
+        m_link.send(AttemptUpdate{ m_self.host, m_self.incarnation, deciderHash, request, kind, outcome, events },
+                    *host);
     }
 }
 
--- a/src/coordination/entry/fleetscheduler.h
+++ b/src/coordination/entry/fleetscheduler.h
@@ -63,10 +63,14 @@
     /** Records that an attempt ended; @p events of its stream were received. */
     void finished(std::uint64_t id, AttemptOutcome outcome, std::uint32_t events, state::Time now);
 
-    void received(const DecisionRequest &message, state::Time now);
-    void received(const DecisionReply &reply, state::Time now);
-    void received(const AttemptUpdate &update, state::Time now);
-    void received(const ReportReply &reply, state::Time now);
+    /**
+     * Process a message of another host. They return false, and change nothing, if it is not meant for this process or
+     * a later process of its sender has been heard: request ids, sequence numbers and clocks begin anew with a process.
+     */
+    bool received(const DecisionRequest &message, state::Time now);
+    bool received(const DecisionReply &reply, state::Time now);
+    bool received(const AttemptUpdate &update, state::Time now);
+    bool received(const ReportReply &reply, state::Time now);
 
     /** Processes a report that the peer table has accepted. */
     void received(const PeerReport &report, state::Time now);
@@ -184,6 +188,7 @@
     void begin(const Decision &decision, std::string_view decider, std::uint32_t deciderHash, state::Time now);
     bool differsAtRecipients(std::uint32_t ReportReply::*recipientDigest, std::uint32_t digest, state::Time now) const;
     void sendUpdate(const std::string &decider,
+                    std::uint32_t deciderHash,
                     std::uint64_t request,
                     AttemptUpdate::Kind kind,
                     AttemptOutcome outcome = AttemptOutcome::Abandoned,
--- a/src/coordination/entry/peertable.cpp
+++ b/src/coordination/entry/peertable.cpp
@@ -22,9 +22,12 @@
 
 bool PeerTable::receive(PeerReport report, TargetTable &targets, state::Time now)
 {
+    // Sequence numbers begin anew with each process, so that they cannot tell a late report of an earlier one.
+    if (m_processes.heard(report.host, report.incarnation, now) == ProcessRegistry::Sender::Ended) {
+        return false;
+    }
     addPeer(report.host, report.address, report.port, now);
     Peer &peer = m_peers[report.host];
-    // Incarnations have no order: they are random, because the time of day may jump between two starts.
     const bool older = report.incarnation == peer.report.incarnation && report.sequence <= peer.report.sequence;
     if (older && peer.lastReportAt != state::Time()) {
         return false;
@@ -42,6 +45,7 @@
 
 std::vector<std::string> PeerTable::expire(TargetTable &targets, state::Time now)
 {
+    m_processes.expire(now);
     std::vector<std::string> expired;
     for (auto &[host, peer] : m_peers) {
         if (peer.live && now - peer.lastReportAt > LiveFor) {
--- a/src/coordination/entry/peertable.h
+++ b/src/coordination/entry/peertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/entry/peerreport.h"
+#include "coordination/entry/processregistry.h"
 #include "coordination/entry/targettable.h"
 #include "state/time.h"
 
@@ -48,7 +49,10 @@
     /** Adds a peer or updates its address. */
     void addPeer(const std::string &host, const std::string &address, std::uint16_t port, state::Time now);
 
-    /** Stores @p report unless a newer one of that peer is known; returns whether it was stored. */
+    /**
+     * Stores @p report unless a newer one of that peer is known, or another process has replaced the one that sent it;
+     * returns whether it was stored.
+     */
     bool receive(PeerReport report, TargetTable &targets, state::Time now);
 
     /** Removes the load of peers that stopped reporting; returns their names. */
@@ -81,6 +85,12 @@
         return std::max(m_peers.size(), m_lastReports.size());
     }
 
+    /** Processes of the peers, as all their messages show them. */
+    ProcessRegistry &processes()
+    {
+        return m_processes;
+    }
+
     const std::map<std::string, Peer, std::less<>> &peers() const
     {
         return m_peers;
@@ -96,6 +106,7 @@
     };
 
     std::uint32_t m_self;
+    ProcessRegistry m_processes;
     std::map<std::string, Peer, std::less<>> m_peers;
     std::map<std::string, LastReport, std::less<>> m_lastReports; /**< of peers that may be cut off, too */
 };
--- a/src/coordination/entry/remoterequesttable.cpp
+++ b/src/coordination/entry/remoterequesttable.cpp
@@ -35,6 +35,7 @@
     : m_scheduler(scheduler)
     , m_host(std::move(host))
     , m_incarnation(incarnation)
+    , m_processHash(processHash(m_host, incarnation))
 {
 }
 
@@ -82,6 +83,7 @@
         erase(known->second);
     }
     Entry unknown;
+    unknown.requester = message.requester;
     unknown.requesterId = message.request.id;
     unknown.sent = message.sent;
     return { message.requester, replyTo(unknown, DecisionReply::State::Declined) };
@@ -105,11 +107,14 @@
     return AddressedReply{ entry.requester, std::move(reply) };
 }
 
-void RemoteRequestTable::handleUpdate(const AttemptUpdate &update, state::Time now)
+bool RemoteRequestTable::handleUpdate(const AttemptUpdate &update, state::Time now)
 {
+    if (update.decider != 0 && update.decider != m_processHash) {
+        return false; // This process may have placed the same request anew.
+    }
     const auto known = m_localIds.find({ update.incarnation, update.request });
     if (known == m_localIds.end()) {
-        return;
+        return true;
     }
     const std::uint64_t localId = known->second;
     switch (update.kind) {
@@ -124,13 +129,17 @@
         abandon(localId, now);
         break;
     }
+    return true;
 }
 
 void RemoteRequestTable::handleReport(const PeerReport &report, state::Time now)
 {
+    dropPredecessors(report.host, report.incarnation, now);
     std::set<std::uint64_t> active;
     for (const ActiveRequest &request : report.active) {
-        active.insert(request.request);
+        if (request.decider == m_processHash) {
+            active.insert(request.request);
+        }
     }
     std::vector<std::uint64_t> ended;
     for (auto &[localId, entry] : m_entries) {
@@ -166,10 +175,29 @@
 }
 
 void RemoteRequestTable::dropWaiting(state::Time now)
+{
+    dropWaitingIf(
+        [](const Entry &) {
+            return true;
+        },
+        now);
+}
+
+void RemoteRequestTable::dropPredecessors(std::string_view host, std::uint64_t incarnation, state::Time now)
+{
+    dropWaitingIf(
+        [&](const Entry &entry) {
+            return entry.requester.host == host && entry.requester.incarnation != incarnation;
+        },
+        now);
+}
+
+template <typename Predicate>
+void RemoteRequestTable::dropWaitingIf(Predicate predicate, state::Time now)
 {
     std::vector<std::uint64_t> waiting;
     for (const auto &[localId, entry] : m_entries) {
-        if (!entry.reply) {
+        if (!entry.reply && predicate(entry)) {
             waiting.push_back(localId);
         }
     }
@@ -189,6 +217,7 @@
     DecisionReply reply;
     reply.decider = m_host;
     reply.deciderIncarnation = m_incarnation;
+    reply.requesterIncarnation = entry.requester.incarnation;
     reply.requestSent = entry.sent;
     reply.state = state;
     reply.decision.request = entry.requesterId;
--- a/src/coordination/entry/remoterequesttable.h
+++ b/src/coordination/entry/remoterequesttable.h
@@ -47,10 +47,13 @@
     /** Records a decision of the scheduler. Returns the reply, or nothing if the request is this host's own. */
     std::optional<AddressedReply> recordDecision(const Decision &decision, state::Time now);
 
-    /** Processes the progress, the end or the withdrawal of a request. */
-    void handleUpdate(const AttemptUpdate &update, state::Time now);
+    /**
+     * Processes the progress, the end or the withdrawal of a request. Returns false, and changes nothing, if it is
+     * meant for an earlier process of this host.
+     */
+    bool handleUpdate(const AttemptUpdate &update, state::Time now);
 
-    /** Ends the requests that the sender of @p report no longer runs. */
+    /** Ends the requests that the sender of @p report no longer runs, and those that its predecessors waited for. */
     void handleReport(const PeerReport &report, state::Time now);
 
     /** Drops requests that their hosts no longer renew, and frees the slots of hosts that timed out. */
@@ -59,6 +62,9 @@
     /** Drops the waiting requests. After a pause of this process, their hosts have turned to another decider. */
     void dropWaiting(state::Time now);
 
+    /** Drops the waiting requests of earlier processes of @p host, as the one with @p incarnation has taken over. */
+    void dropPredecessors(std::string_view host, std::uint64_t incarnation, state::Time now);
+
     /** Returns whether another host has sent a decision request within the last seconds. */
     bool hasRecentRequests(state::Time now) const;
 
@@ -78,12 +84,15 @@
     using Key = std::pair<std::uint64_t, std::uint64_t>; /**< incarnation and request id of the requester */
 
     DecisionReply replyTo(const Entry &entry, DecisionReply::State state) const;
+    template <typename Predicate>
+    void dropWaitingIf(Predicate predicate, state::Time now);
     void erase(std::uint64_t localId);
     void abandon(std::uint64_t localId, state::Time now);
 
     Scheduler &m_scheduler;
     std::string m_host;
     std::uint64_t m_incarnation;
+    std::uint32_t m_processHash;
     std::unordered_map<std::uint64_t, Entry> m_entries; /**< by the scheduler's id */
     std::map<Key, std::uint64_t> m_localIds;
     state::Time m_lastRequest{};
--- a/src/protocol/decidercodec.cpp
+++ b/src/protocol/decidercodec.cpp
@@ -20,7 +20,7 @@
 using coordination::entry::ScheduledRequest;
 
 /** First four bytes of each message; the last of them is the version of the format. */
-constexpr std::uint32_t Magic = 0x53434407;
+constexpr std::uint32_t Magic = 0x53434408;
 
 /** Encodes an absent number; a number that is present is never negative. */
 constexpr double NoNumber = -1;
@@ -224,6 +224,7 @@
 {
     codec.text(reply.decider);
     codec.number(reply.deciderIncarnation);
+    codec.number(reply.requesterIncarnation);
     codec.signedNumber(reply.requestSent);
     visitDuration(codec, reply.held);
     visitDuration(codec, reply.targetsAge);
@@ -241,6 +242,7 @@
 {
     codec.text(update.host);
     codec.number(update.incarnation);
+    codec.number(update.decider);
     codec.number(update.request);
     auto kind = update.kind;
     auto outcome = update.outcome;
@@ -259,6 +261,7 @@
 {
     codec.text(reportReply.host);
     codec.number(reportReply.incarnation);
+    codec.number(reportReply.reporterIncarnation);
     codec.signedNumber(reportReply.reportSentAt);
     codec.flag(reportReply.canDecide);
     codec.flag(reportReply.qualified);
--- a/src/transport/entry/exchange.cpp
+++ b/src/transport/entry/exchange.cpp
@@ -353,11 +353,17 @@
     return m_context.scheduler.regionRules().allows(m_admitted.permittedRegions, decision.target.failureDomain);
 }
 
+/** Returns whether the target of @p decision runs the service to which the configuration sends this request. */
+bool Exchange::runsOwnService(const Decision &decision) const
+{
+    return decision.target.service == m_admitted.service;
+}
+
 /** Returns whether nothing may be sent to the target of @p decision now. */
 bool Exchange::isWithheld(const Decision &decision)
 {
     const PlacedTarget target{ decision.targetHash, decision.target.failureDomain, decision.targetsConfirmed };
-    return !isAllowed(decision) || m_context.fleet.isWithheld(target, m_context.now());
+    return !runsOwnService(decision) || !isAllowed(decision) || m_context.fleet.isWithheld(target, m_context.now());
 }
 
 /** Returns whether the request may be placed again, as nothing was sent to the last target. */
@@ -367,8 +373,8 @@
 }
 
 /**
- * Records that the request was not sent to @p target: it wants none, its failure domain is evacuated or in a region
- * that is not allowed, or it was placed from too old a list of targets.
+ * Records that the request was not sent to @p target: it runs another service, wants no requests, its failure domain is
+ * evacuated or in a region that is not allowed, or it was placed from too old a list of targets.
  */
 void Exchange::recordWithheld(const state::entry::TargetEntry &target)
 {
@@ -387,6 +393,7 @@
                { "decider", m_decision->decider },
                { "leaving", until == state::Time::max() ? "yes" : "no" },
                { "closed", until ? "yes" : "no" },
+               { "own_service", runsOwnService(*m_decision) ? "yes" : "no" },
                { "region_allowed", isAllowed(*m_decision) ? "yes" : "no" },
                { "evacuated", evacuated ? "yes" : "no" },
                { "targets_age_ms", milliseconds(now - m_decision->targetsConfirmed) },
--- a/src/transport/entry/exchange.h
+++ b/src/transport/entry/exchange.h
@@ -67,6 +67,7 @@
     void endAttempt(state::Time now);
     bool endsSoon(state::Time now) const;
     std::optional<state::Time> closedUntil(const coordination::entry::Decision &decision) const;
+    bool runsOwnService(const coordination::entry::Decision &decision) const;
     bool isAllowed(const coordination::entry::Decision &decision);
     bool isWithheld(const coordination::entry::Decision &decision);
     bool mayPlaceAgain(const AttemptResult &result) const;
--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -153,14 +153,20 @@
     if (!message) {
         return;
     }
-    if (const auto *reportReply = std::get_if<coordination::entry::ReportReply>(&*message)) {
-        applyConfirmation(*reportReply);
-    }
-    std::visit(
+    const bool taken = std::visit(
         [&](const auto &content) {
-            m_context.fleet.received(content, now);
+            return m_context.fleet.received(content, now);
         },
         *message);
+    if (!taken) {
+        m_context.metrics.count("peer_messages_outlived_total");
+        logEvent("peer_message_outlived",
+                 { { "from", m_sender.address().to_string() }, { "kind", std::to_string(message->index()) } });
+        return;
+    }
+    if (const auto *reportReply = std::get_if<coordination::entry::ReportReply>(&*message)) {
+        applyConfirmation(*reportReply);
+    }
 }
 
 /**
--- a/tests/coordination/entry/simulatedfleet.cpp
+++ b/tests/coordination/entry/simulatedfleet.cpp
@@ -68,7 +68,18 @@
 
     void decided(Decision decision) override
     {
-        fleetOwner.placed(number, decision);
+        const auto found = simulationIds.find(decision.request);
+        if (found != simulationIds.end()) {
+            decision.request = found->second;
+            fleetOwner.placed(number, decision);
+        }
+    }
+
+    /** Returns the number that this process has given to the request with @p id. */
+    std::uint64_t ownId(std::uint64_t id) const
+    {
+        const auto found = ownIds.find(id);
+        return found == ownIds.end() ? 0 : found->second;
     }
 
     void send(const DecisionRequest &message, const KnownHost &to) override
@@ -113,6 +124,8 @@
     state::Time reportedAt{};
     std::uint32_t sequence = 0;
     std::size_t sent = 0;
+    std::map<std::uint64_t, std::uint64_t> simulationIds; /**< by the process's own, which count from 1 */
+    std::map<std::uint64_t, std::uint64_t> ownIds; /**< by the simulation's */
 };
 
 SimulatedFleet::SimulatedFleet(const Options &options)
@@ -157,6 +170,9 @@
     const auto restarts = m_starts.find(target);
     entry.startedUnixMs += restarts == m_starts.end() ? 0 : restarts->second;
     const bool isOdd = std::stoi(target.substr(1)) % 2 != 0;
+    if (m_options.twoServices && isOdd) {
+        entry.service = "plain";
+    }
     entry.failureDomain = m_options.twoRegions && isOdd ? "adum" : "osu";
     entry.coldFor = state::Duration::zero();
     return entry;
@@ -311,10 +327,20 @@
     m_parts[request.id] = request.parts;
     SimulatedHost &simulatedHost = *m_hosts[static_cast<std::size_t>(host)];
     const std::uint64_t id = request.id;
-    simulatedHost.fleet.submit(std::move(request), m_now);
+    submitAt(simulatedHost, std::move(request));
     return id;
 }
 
+/** Submits @p request under the next number of the host's process, as hosts number their requests. */
+void SimulatedFleet::submitAt(SimulatedHost &simulatedHost, ScheduledRequest request)
+{
+    const std::uint64_t ownId = simulatedHost.ownIds.size() + 1;
+    simulatedHost.ownIds[request.id] = ownId;
+    simulatedHost.simulationIds[ownId] = request.id;
+    request.id = ownId;
+    simulatedHost.fleet.submit(std::move(request), m_now);
+}
+
 void SimulatedFleet::placed(int host, const Decision &decision)
 {
     const std::uint64_t id = decision.request;
@@ -329,6 +355,7 @@
     if (decision.refusal) {
         return;
     }
+    m_strayPlacements += decision.target.service == m_requests[id].service ? 0 : 1;
     const std::string target = decision.target.id;
     const auto &parts = m_parts[id];
     const bool isDeadly = std::any_of(parts.begin(), parts.end(), [this](std::uint64_t part) {
@@ -395,7 +422,7 @@
         ended(host, id, AttemptOutcome::Abandoned);
         SimulatedHost &receiver = *m_hosts[static_cast<std::size_t>(host)];
         const auto submitAgain = [again](SimulatedHost &resumed) {
-            resumed.fleet.submit(again, resumed.fleetOwner.m_now);
+            resumed.fleetOwner.submitAt(resumed, again);
         };
         if (receiver.paused) {
             receiver.queued.push_back(submitAgain);
@@ -510,11 +537,11 @@
     }
     if (simulatedHost.paused) {
         simulatedHost.queued.push_back([id, outcome](SimulatedHost &resumed) {
-            resumed.fleet.finished(id, outcome, 10, resumed.fleetOwner.m_now);
+            resumed.fleet.finished(resumed.ownId(id), outcome, 10, resumed.fleetOwner.m_now);
         });
         return;
     }
-    simulatedHost.fleet.finished(id, outcome, 10, m_now);
+    simulatedHost.fleet.finished(simulatedHost.ownId(id), outcome, 10, m_now);
 }
 
 void SimulatedFleet::pause(int host, bool queuesMessages)
--- a/tests/coordination/entry/simulatedfleet.h
+++ b/tests/coordination/entry/simulatedfleet.h
@@ -30,6 +30,7 @@
         double quotaRate = 0; /**< of the customer "c", in cost per second; 0 for no quota */
         bool twoRegions = false; /**< every second target lies in "adum" in the region "kumasi" */
         double coldRate = 0; /**< requests per second that a cold target bears; 0 if targets are never cold */
+        bool twoServices = false; /**< every second target runs the service "plain" in place of "llm" */
     };
 
     explicit SimulatedFleet(const Options &options);
@@ -164,6 +165,12 @@
         return m_duplicateDecisions;
     }
 
+    /** Number of requests that were placed at a target of another service. */
+    int strayPlacements() const
+    {
+        return m_strayPlacements;
+    }
+
     /** Most requests that ran at one target at the same time. */
     std::uint32_t highestLoad() const
     {
@@ -202,6 +209,7 @@
 
     void post(int from, const std::string &to, std::function<void(SimulatedHost &)> deliver);
     void prepare(SimulatedHost &simulatedHost);
+    void submitAt(SimulatedHost &simulatedHost, ScheduledRequest request);
     void placed(int host, const Decision &decision);
     void respond(int host, const Decision &decision);
     bool withhold(int host, const Decision &decision);
@@ -247,6 +255,7 @@
     std::uint64_t m_lastId = 0;
     std::uint64_t m_lastIncarnation = 1000;
     int m_duplicateDecisions = 0;
+    int m_strayPlacements = 0;
     std::uint32_t m_highestLoad = 0;
 };
 
--- a/tests/protocol/testdecidercodec.cpp
+++ b/tests/protocol/testdecidercodec.cpp
@@ -87,6 +87,7 @@
     DecisionReply reply;
     reply.decider = "front-osu-2";
     reply.deciderIncarnation = 9;
+    reply.requesterIncarnation = 10;
     reply.requestSent = -1;
     reply.held = milliseconds(31);
     reply.targetsAge = milliseconds(720);
@@ -100,6 +101,7 @@
         const auto message = decode(encodeDeciderMessage(reply, Deployment, Sent));
         REQUIRE(message);
         const auto &received = std::get<DecisionReply>(*message);
+        CHECK(received.requesterIncarnation == 10);
         CHECK_FALSE(received.decision.refusal);
         CHECK(received.held == milliseconds(31));
         CHECK(received.targetsAge == milliseconds(720));
@@ -118,13 +120,15 @@
         CHECK(received.decision.refusal == RefusalReason::OverQuota);
         CHECK(received.decision.retryAfter == milliseconds(700));
     }
-    const AttemptUpdate update{ "front-osu-1", 5, 42, AttemptUpdate::Kind::FirstEvent, AttemptOutcome::Stalled, 12 };
+    const AttemptUpdate update{ "front-osu-1", 5, 6, 42, AttemptUpdate::Kind::FirstEvent, AttemptOutcome::Stalled, 12 };
     const auto updateMessage = decode(encodeDeciderMessage(update, Deployment, Sent));
     REQUIRE(updateMessage);
+    CHECK(std::get<AttemptUpdate>(*updateMessage).decider == 6);
     CHECK(std::get<AttemptUpdate>(*updateMessage).kind == AttemptUpdate::Kind::FirstEvent);
     CHECK(std::get<AttemptUpdate>(*updateMessage).outcome == AttemptOutcome::Stalled);
     ReportReply reportReply;
     reportReply.host = "front-osu-2";
+    reportReply.reporterIncarnation = 4;
     reportReply.reportSentAt = 77;
     reportReply.qualified = true;
     reportReply.targetsAge = milliseconds(1280);
@@ -138,6 +142,7 @@
     reportReply.suspects.push_back({ 11, 5, 7, 8, 2, 1200, 300, { 12 } });
     const auto reportReplyMessage = decode(encodeDeciderMessage(reportReply, Deployment, Sent));
     REQUIRE(reportReplyMessage);
+    CHECK(std::get<ReportReply>(*reportReplyMessage).reporterIncarnation == 4);
     CHECK(std::get<ReportReply>(*reportReplyMessage).confirmedAge == milliseconds(1234));
     CHECK(std::get<ReportReply>(*reportReplyMessage).qualified);
     CHECK(std::get<ReportReply>(*reportReplyMessage).targetsAge == milliseconds(1280));
