Keep a target's newer limit although a restart has set its revision back

A host that has just started and hears of a lower limit of a target took the older limit of the other hosts for the newer one, until the target's next response; the same with a limit that had ended.

Cause: hosts tell older from newer limits by a revision that each process counts from 1.

Change: a limit that another host stated last before the target told this process something else does not replace what it told; that gets the next higher revision and is reported at once.

--- a/src/coordination/entry/targetstatements.cpp
+++ b/src/coordination/entry/targetstatements.cpp
@@ -146,6 +146,7 @@
         }
         found->second.limit.ended = true;
         found->second.limit.statedAt = now;
+        found->second.heardAt = now;
         ++found->second.limit.revision;
         return true;
     case RateStatement::Kind::Limit:
@@ -166,6 +167,7 @@
     }
     const bool changed = !inForce || limit.requestsPerSecond != stated;
     limit = { stated, false, limit.revision + (changed ? 1 : 0), now };
+    item.heardAt = now;
     return changed;
 }
 
@@ -232,6 +234,17 @@
     m_learnedLeaving.emplace_back(share.target, since);
 }
 
+/**
+ * Returns whether the target has told this process something else since @p other was stated last. Revisions begin at 1
+ * with each process, so that one that has just started may know what is newer under a lower one.
+ */
+bool TargetStatements::isOutlived(const TargetLimit &other, const Item &item)
+{
+    const TargetLimit &known = item.limit;
+    const bool differs = other.ended != known.ended || other.requestsPerSecond != known.requestsPerSecond;
+    return differs && other.revision >= known.revision && item.heardAt && other.statedAt < *item.heardAt;
+}
+
 void TargetStatements::merge(const StatementShare &share, state::Time now)
 {
     const TargetLimit other{
@@ -244,6 +257,11 @@
     if (found == m_items.end() && m_items.size() >= MaxTargets) {
         return;
     }
+    if (found != m_items.end() && isOutlived(other, found->second)) {
+        found->second.limit.revision = other.revision + 1;
+        m_urgent = true;
+        return;
+    }
     if (found == m_items.end() || isNewer(other, found->second.limit)) {
         Item &item = itemOf(share.target, now);
         if (!item.coldPace && !isEffective(item.limit, now)) {
@@ -586,7 +604,7 @@
     if (found != m_items.end()) {
         return found->second;
     }
-    return m_items.emplace(target, Item{ {}, RatePacer(phaseOf(m_self, target), now), {}, {}, {}, {}, {} })
+    return m_items.emplace(target, Item{ {}, {}, RatePacer(phaseOf(m_self, target), now), {}, {}, {}, {}, {} })
         .first->second;
 }
 
--- a/src/coordination/entry/targetstatements.h
+++ b/src/coordination/entry/targetstatements.h
@@ -160,6 +160,7 @@
     struct Item
     {
         TargetLimit limit;
+        std::optional<state::Time> heardAt; /**< when the target itself last told this process of its limit */
         RatePacer pacer;
         std::optional<state::Time> leavingSince; /**< when it was first heard */
         state::Time backOffEnd{}; /**< for this host */
@@ -191,6 +192,7 @@
     bool heardBackOff(std::uint32_t target, state::Duration backOff, state::Time now);
     void extendBackOff(std::uint32_t target, Item &item, state::Time end, state::Time now);
     void mergeLeaving(const StatementShare &share, state::Time now);
+    static bool isOutlived(const TargetLimit &other, const Item &item);
     static bool dropOld(Item &item, state::Time now);
     static std::optional<double> rateNow(const Item &item, state::Time now);
     void merge(const StatementShare &share, state::Time now);
--- a/tests/coordination/entry/testtargetstatements.cpp
+++ b/tests/coordination/entry/testtargetstatements.cpp
@@ -62,6 +62,45 @@
 
 } // namespace
 
+// Guards against LIMIT: revisions begin at 1 with each process, so that a host that has just started took the old limit
+// of the others for newer than what the target had told it.
+TEST_CASE("a host that has just started keeps a limit that is newer than that of the others", "[entry][limit][restart]")
+{
+    constexpr std::uint32_t target = 7;
+    TargetStatements running(1);
+    TargetStatements started(2);
+    for (const double rate : { 8.0, 6.0, 9.0 }) {
+        running.heard(target, limit(rate), Start, Start);
+    }
+    const state::Time heard = Start + seconds(5);
+    started.heard(target, limit(2), heard, heard);
+    state::Time now = heard + milliseconds(100);
+    SECTION("the others learn of the newer limit")
+    {
+        started.merge(running.shares(now), now);
+        CHECK(started.find(target)->requestsPerSecond == 2);
+        CHECK(started.takeUrgent());
+        running.merge(started.shares(now), now);
+        CHECK(running.find(target)->requestsPerSecond == 2);
+        CHECK(running.digest() == started.digest());
+    }
+    SECTION("the others have heard the target later")
+    {
+        running.heard(target, limit(9), now, now);
+        now += milliseconds(100);
+        started.merge(running.shares(now), now);
+        CHECK(started.find(target)->requestsPerSecond == 9);
+    }
+    SECTION("the limit has ended")
+    {
+        started.heard(target, SelfStatement{}, heard + milliseconds(1), heard + milliseconds(1));
+        started.merge(running.shares(now), now);
+        CHECK(started.find(target)->ended);
+        running.merge(started.shares(now), now);
+        CHECK(running.find(target)->ended);
+    }
+}
+
 // Guards against an older answer, on another connection, that undoes what the target has said since.
 TEST_CASE("an answer that may be older does not undo a newer statement", "[entry][statements]")
 {
