--- a/src/coordination/entry/partset.cpp
+++ b/src/coordination/entry/partset.cpp
@@ -66,7 +66,7 @@
 {
     const auto [first, last] = m_byHash.equal_range(set->hash);
     for (auto known = first; known != last; ++known) {
-        const PartSetPtr held = known->second.lock();
+        PartSetPtr held = known->second.lock();
         if (held && held->parts == set->parts) {
             return held;
         }
@@ -74,7 +74,7 @@
     dropUnused();
     ++m_usage->sets;
     m_usage->parts += set->parts.size();
-    const PartSetPtr held(new PartSet(*set), [usage = m_usage](const PartSet *unused) {
+    PartSetPtr held(new PartSet(*set), [usage = m_usage](const PartSet *unused) {
         --usage->sets;
         usage->parts -= unused->parts.size();
         delete unused;
