--- a/src/coordination/entry/partset.cpp
+++ b/src/coordination/entry/partset.cpp
@@ -49,6 +49,13 @@
     return result;
 }
 
+std::vector<std::uint64_t> partsWithout(std::span<const std::uint64_t> parts, std::span<const std::uint64_t> other)
+{
+    std::vector<std::uint64_t> rest;
+    std::set_difference(parts.begin(), parts.end(), other.begin(), other.end(), std::back_inserter(rest));
+    return rest;
+}
+
 PartSetPtr makePartSet(std::vector<std::uint64_t> parts)
 {
     auto set = std::make_shared<PartSet>();
--- a/src/coordination/entry/partset.h
+++ b/src/coordination/entry/partset.h
@@ -37,6 +37,9 @@
 /** Returns @p parts in ascending order, each once. */
 std::vector<std::uint64_t> sortedParts(std::span<const std::uint64_t> parts);
 
+/** Returns the parts of @p parts that @p other lacks; both are ascending, as is the result. */
+std::vector<std::uint64_t> partsWithout(std::span<const std::uint64_t> parts, std::span<const std::uint64_t> other);
+
 /** Sets of parts of which each is held once, so that equal sets have the same address. */
 class PartSetPool
 {
