Look through the requests of other hosts once for each report

Since the decider forgets what replaced processes waited for, each report made it look through all requests twice. One pass does both.

--- a/src/coordination/entry/remoterequesttable.cpp
+++ b/src/coordination/entry/remoterequesttable.cpp
@@ -134,7 +134,6 @@
 
 void RemoteRequestTable::handleReport(const PeerReport &report, state::Time now)
 {
-    dropPredecessors(report.host, report.incarnation, now);
     std::set<std::uint64_t> active;
     for (const ActiveRequest &request : report.active) {
         if (request.decider == m_processHash) {
@@ -143,7 +142,16 @@
     }
     std::vector<std::uint64_t> ended;
     for (auto &[localId, entry] : m_entries) {
-        if (entry.requester.host != report.host || !entry.reply || entry.reply->decision.refusal) {
+        if (entry.requester.host != report.host) {
+            continue;
+        }
+        if (!entry.reply) {
+            if (entry.requester.incarnation != report.incarnation) {
+                ended.push_back(localId);
+            }
+            continue;
+        }
+        if (entry.reply->decision.refusal) {
             continue;
         }
         const bool runs = entry.requester.incarnation == report.incarnation && active.contains(entry.requesterId);
