Spare deciders work on the evidence of crashes

Suspected: the evidence costs more time than before. Answers to requests without a suspect now end at once, signatures are hashed as numbers and no longer as text, and messages consider 128 suspects and stop when they are full.

--- a/src/coordination/entry/crashevidence.cpp
+++ b/src/coordination/entry/crashevidence.cpp
@@ -28,7 +28,7 @@
 constexpr std::size_t MaxSharedAnsweredParts = 800;
 
 /** Suspects that are considered for a message; some of them may be parts of what is one suspect at another host. */
-constexpr std::size_t ConsideredForMessage = 512;
+constexpr std::size_t ConsideredForMessage = 128;
 
 /** Most crashes and numbers in the record of the blocked suspects; the metadata store takes records of 256 KiB. */
 constexpr std::size_t MaxStoredCrashes = 1024;
@@ -113,6 +113,9 @@
     }
     Evidence result;
     for (const SuspectClass &item : classes) {
+        if (result.items.size() == limits.crashes) {
+            break;
+        }
         const auto &crashes = m_suspects.at(item.suspects.front()).crashes;
         if (result.items.size() + crashes.size() > limits.crashes) {
             continue;
--- a/src/coordination/entry/crashsuspects.cpp
+++ b/src/coordination/entry/crashsuspects.cpp
@@ -167,7 +167,10 @@
 
 void CrashSuspects::answered(std::uint32_t build, std::span<const std::uint64_t> parts, state::Time now)
 {
-    if (m_suspects.empty()) {
+    const bool isAnySuspect = std::any_of(parts.begin(), parts.end(), [this](std::uint64_t part) {
+        return m_suspectOf.contains(part);
+    });
+    if (!isAnySuspect) {
         return;
     }
     for (auto &[id, ofSuspect] : known(parts).bySuspect) {
@@ -457,7 +460,7 @@
 {
     Accused accused;
     accused.parts = suspect.parts;
-    std::string signature;
+    std::vector<std::uint64_t> signature;
     for (const auto &[key, observation] : suspect.crashes) {
         const state::Time dispatched = observation.at - observation.held;
         const auto [known, added] = accused.crashes.try_emplace(key.first, Crash{ observation.at, dispatched });
@@ -465,13 +468,12 @@
         known->second.latestDispatch = std::max(known->second.latestDispatch, dispatched);
         accused.requests += observation.requests;
         accused.common = accused.common ? m_sets.common(accused.common, observation.common) : observation.common;
-        signature += std::to_string(key.first) + '/' + std::to_string(key.second) + '/'
-            + std::to_string(observation.build) + '/' + std::to_string(observation.requests) + '/'
-            + std::to_string(observation.common->hash) + '/';
+        signature.insert(signature.end(),
+                         { key.first, key.second, observation.build, observation.requests, observation.common->hash });
     }
     accused.separate = separateCount(accused.crashes);
     accused.requestsPerCrash = static_cast<double>(accused.requests) / static_cast<double>(accused.crashes.size());
-    accused.signature = longHash(signature);
+    accused.signature = hashOf(signature);
     return accused;
 }
 
--- a/src/coordination/entry/partset.cpp
+++ b/src/coordination/entry/partset.cpp
@@ -2,9 +2,11 @@
 
 #include "coordination/entry/shorthash.h"
 
+#include <boost/endian/conversion.hpp>
+
 #include <algorithm>
 #include <iterator>
-#include <string>
+#include <string_view>
 
 namespace sapphirecove::coordination::entry {
 
@@ -13,21 +15,18 @@
 /** Unused sets that are looked for only once there are some more of them than sets in use. */
 constexpr std::size_t UnusedSets = 64;
 
-/** Returns a hash that does not depend on the byte order of the host. */
-std::uint64_t hashOf(std::span<const std::uint64_t> parts)
+} // namespace
+
+std::uint64_t hashOf(std::span<const std::uint64_t> numbers)
 {
-    std::string bytes;
-    bytes.reserve(parts.size() * sizeof(std::uint64_t));
-    for (const std::uint64_t part : parts) {
-        for (unsigned shift = 0; shift < 64; shift += 8) {
-            bytes.push_back(static_cast<char>((part >> shift) & 0xffU));
-        }
-    }
-    return longHash(bytes);
+    std::vector<std::uint64_t> littleEndian(numbers.begin(), numbers.end());
+    std::for_each(littleEndian.begin(), littleEndian.end(), [](std::uint64_t &number) {
+        boost::endian::native_to_little_inplace(number);
+    });
+    return longHash(
+        { reinterpret_cast<const char *>(littleEndian.data()), littleEndian.size() * sizeof(std::uint64_t) });
 }
 
-} // namespace
-
 bool PartSet::contains(std::uint64_t part) const
 {
     return std::binary_search(parts.begin(), parts.end(), part);
--- a/src/coordination/entry/partset.h
+++ b/src/coordination/entry/partset.h
@@ -34,6 +34,9 @@
 /** Returns the set of @p parts, which may be in any order and repeat. */
 PartSetPtr makePartSet(std::vector<std::uint64_t> parts);
 
+/** Returns a hash of @p numbers that is the same on all hosts. */
+std::uint64_t hashOf(std::span<const std::uint64_t> numbers);
+
 /** Returns @p parts in ascending order, each once. */
 std::vector<std::uint64_t> sortedParts(std::span<const std::uint64_t> parts);
 
