Encode a reply to a report once

A reply with evidence of crashes was encoded to learn its size, and again to be sent. Deciders answer each report with one while hosts differ in their evidence. The bytes that are sent stay the same. The tests of crashes, restarts and exchanges of the transport layer pass (36 cases).

--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -147,15 +147,17 @@
                                   const std::string &address,
                                   std::uint16_t port)
 {
-    if (!reply.suspects.empty()
-        && protocol::encodeDeciderMessage(reply, m_deploymentHash, m_context.now()).size() > MaxDatagram) {
-        coordination::entry::ReportReply evidence = reply;
-        evidence.quotas.clear();
-        evidence.statements.clear();
-        evidence.evacuations.clear();
-        send(evidence, address, port);
-        reply.suspects.clear();
+    const std::string datagram = protocol::encodeDeciderMessage(reply, m_deploymentHash, m_context.now());
+    if (datagram.size() <= MaxDatagram || reply.suspects.empty()) {
+        sendTo(datagram, address, port);
+        return;
     }
+    coordination::entry::ReportReply evidence = reply;
+    evidence.quotas.clear();
+    evidence.statements.clear();
+    evidence.evacuations.clear();
+    send(evidence, address, port);
+    reply.suspects.clear();
     send(reply, address, port);
 }
 
@@ -256,6 +258,11 @@
 }
 
 void PeerChannel::send(const protocol::DeciderMessage &message, const std::string &address, std::uint16_t port)
+{
+    sendTo(protocol::encodeDeciderMessage(message, m_deploymentHash, m_context.now()), address, port);
+}
+
+void PeerChannel::sendTo(const std::string &datagram, const std::string &address, std::uint16_t port)
 {
     boost::system::error_code error;
     const auto ip = asio::ip::make_address(address, error);
@@ -263,7 +270,7 @@
         rejectMessage({ "peers.send", address, error.message() });
         return;
     }
-    sendTo(protocol::encodeDeciderMessage(message, m_deploymentHash, m_context.now()), udp::endpoint(ip, port));
+    sendTo(datagram, udp::endpoint(ip, port));
 }
 
 void PeerChannel::sendTo(const std::string &datagram, const udp::endpoint &to)
--- a/src/transport/entry/peerchannel.h
+++ b/src/transport/entry/peerchannel.h
@@ -48,6 +48,7 @@
     void applyConfirmation(const coordination::entry::ReportReply &reportReply);
     void rejectMessage(const state::Failure &failure);
     void sendReportReply(coordination::entry::ReportReply reply, const std::string &address, std::uint16_t port);
+    void sendTo(const std::string &datagram, const std::string &address, std::uint16_t port);
     void sendTo(const std::string &datagram, const boost::asio::ip::udp::endpoint &to);
 
     ServingContext &m_context;
