--- a/tests/transport/data/testbrokenresponses.cpp
+++ b/tests/transport/data/testbrokenresponses.cpp
@@ -241,7 +241,8 @@
     }
 }
 
-// Guards against a request whose rest is written to the connection on which its stream is resumed.
+// Guards against a request whose rest is written to the connection on which its stream is resumed. That can happen only
+// since the response is read beside the write.
 TEST_CASE("serve: a stream that is cut while the request is still sent is resumed by a request of its own",
           "[exchange][broken][upload]")
 {
