Hear a host again whose clock was set back before its restart

Callers of `serve` lost a host: after a restart with the time of day set back, however little, all other hosts dropped every message of the new process as one of an earlier process, for as long as its start time was lower. It was alive to nobody and selected for nothing.

Cause: the incarnation of a `serve` process is its start time by the time of day, and a lower one counted as an earlier process without end.

Evidence: with the old comparison the new test prints "CHECK( membership.recordHeartbeat("a2", 5, heartbeat(7), Start + 1500ms) )" FAILED, and so for the three checks after it (4 of 207 assertions of [membership]).

Change: the process with the higher incarnation counts as the present one while its host is alive, that is for one second after its last heartbeat. `Membership::isOutlived()` is the only comparison; HostCoordinator had a second one. If a late message of the ended process arrives after that, its successor is heard again one second later.

Measured: "All tests passed" for [membership] (10 test cases, 207 assertions).

--- a/src/coordination/hostcoordinator.cpp
+++ b/src/coordination/hostcoordinator.cpp
@@ -114,8 +114,8 @@
 void HostCoordinator::on(const MessagesReceived &event, state::Time now)
 {
     const Envelope &envelope = event.envelope;
-    if (envelope.incarnation < m_membership.incarnationOf(envelope.from)) {
-        return; // sent by an earlier incarnation of the host
+    if (m_membership.isOutlived(envelope.from, envelope.incarnation, now)) {
+        return;
     }
     for (const Message &message : envelope.messages) {
         if (const Heartbeat *heartbeat = std::get_if<Heartbeat>(&message)) {
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -70,11 +70,11 @@
     if (from == m_options.host) {
         return false;
     }
-    auto &peer = m_peers[from];
-    if (incarnation < peer.incarnation) {
+    if (isOutlived(from, incarnation, now)) {
         return false;
     }
-    if (incarnation > peer.incarnation) {
+    auto &peer = m_peers[from];
+    if (incarnation != peer.incarnation) {
         peer = Peer{};
         peer.incarnation = incarnation;
     }
@@ -86,6 +86,11 @@
     return true;
 }
 
+bool Membership::isOutlived(const state::HostId &from, state::Incarnation incarnation, state::Time now) const
+{
+    return incarnation < incarnationOf(from) && isAlive(from, now);
+}
+
 void Membership::recordAcknowledgement(Peer &peer, std::uint64_t acknowledged, state::Time now) const
 {
     const bool isOwn = acknowledged > m_options.incarnation && acknowledged <= m_sequence;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -41,8 +41,8 @@
     void updateHostList(const state::HostList &list, state::Time now);
 
     /**
-     * Records a heartbeat. Returns false, and changes nothing, if a newer incarnation of the host is known or if @p
-     * from is this host. A heartbeat that arrives out of order counts for liveness but does not replace newer
+     * Records a heartbeat. Returns false, and changes nothing, if the process that sent it is outlived or if @p from is
+     * this host. A heartbeat that arrives out of order counts for liveness but does not replace newer
      * contents.
      */
     bool recordHeartbeat(const state::HostId &from,
@@ -50,6 +50,12 @@
                          const Heartbeat &heartbeat,
                          state::Time now);
 
+    /**
+     * Returns whether a later process of @p from has replaced the one with @p incarnation. Incarnations are start times
+     * by the time of day, which may be set back before a restart: the higher one holds only while its host is alive.
+     */
+    bool isOutlived(const state::HostId &from, state::Incarnation incarnation, state::Time now) const;
+
     /**
      * Shifts the heartbeat times of all peers by the length of a pause of this process, so that the pause does not make
      * every peer look dead. Call it when ticks were missing for more than HeartbeatTimeout.
--- a/tests/coordination/testmembership.cpp
+++ b/tests/coordination/testmembership.cpp
@@ -60,6 +60,21 @@
     CHECK_FALSE(membership.isAlive("a2", Start + 1500ms));
 }
 
+// Guards against a restarted host that no other one hears again: its incarnation is lower if the time of day was set
+// back.
+TEST_CASE("a process that starts after the clock was set back replaces the one before it", "[membership][restart]")
+{
+    auto membership = joined(Start);
+    CHECK(membership.recordHeartbeat("a2", 9, heartbeat(10), Start + 500ms));
+    CHECK_FALSE(membership.recordHeartbeat("a2", 5, heartbeat(6), Start + 1499ms));
+    CHECK(membership.recordHeartbeat("a2", 5, heartbeat(7), Start + 1500ms));
+    CHECK(membership.isAlive("a2", Start + 2s));
+    CHECK(membership.incarnationOf("a2") == 5);
+    CHECK(membership.acknowledgedTo("a2") == 7);
+    CHECK(membership.recordHeartbeat("a2", 9, heartbeat(11), Start + 1600ms));
+    CHECK_FALSE(membership.recordHeartbeat("a2", 5, heartbeat(8), Start + 1700ms));
+}
+
 // Guards against a host that counts as alive for too long, or not long enough, after its last heartbeat.
 TEST_CASE("a host is alive for one second after a heartbeat", "[membership]")
 {
