Ask a decider that was restarted at another address

Callers of a host waited for a decider that nobody could reach: its process had come back at another address or port, as the settings in effect at that moment said, and this host went on asking the old one until the requests had timed out there, again and again.

Cause: the directory of hosts took an address from a host's first report only.

Evidence: with the old condition the new test prints "CHECK( host.comesTo("/r/", "second") )" FAILED (1 of 14 assertions of [restart] in test_transport).

Change: each accepted report updates the address of its host; reports of replaced processes are dropped before that.

Measured: "All tests passed (14 assertions in 2 test cases)". What remains: a host that gets no reports of the one that moved knows its new address only from the store's list, which it reads again while no other host answers it.

--- a/src/transport/entry/peerchannel.cpp
+++ b/src/transport/entry/peerchannel.cpp
@@ -3,6 +3,7 @@
 #include "coordination/entry/shorthash.h"
 #include "protocol/peerreportcodec.h"
 #include "transport/log.h"
+#include "transport/portwait.h"
 
 #include <algorithm>
 #include <exception>
@@ -39,7 +40,11 @@
         const udp::endpoint endpoint(address, settings.peerPort);
         socket.open(endpoint.protocol(), error);
         if (!error) {
-            socket.bind(endpoint, error);
+            error = bindWhenFree(peer, PortWait, [&] {
+                boost::system::error_code failure;
+                socket.bind(endpoint, failure);
+                return failure;
+            });
         }
         if (!error) {
             socket.non_blocking(true, error);
@@ -118,17 +123,12 @@
 {
     const state::Time now = m_context.now();
     auto &scheduler = m_context.scheduler;
-    auto &directory = m_context.fleet.directory();
-    const auto &regions = m_context.settings.regionOfDomain;
-    const auto region = regions.find(report.failureDomain);
-    if (directory.find(report.host) == nullptr && region != regions.end()) {
-        directory.learn({ report.host, report.address, report.port, region->second, report.capacity });
-    }
     const auto known = scheduler.peers().peers().find(report.host);
     const bool wasLive = known != scheduler.peers().peers().end() && known->second.live;
     if (!scheduler.peers().receive(report, scheduler.targets(), now)) {
         return;
     }
+    learnHost(report);
     m_context.announcedVersion = std::max(m_context.announcedVersion, report.configuration);
     m_context.fleet.received(report, now);
     if (!wasLive) {
@@ -141,6 +141,28 @@
     sendReportReply(std::move(reportReply), report.address, report.port);
 }
 
+/** Adds the host that sent @p report, or updates its address: a restarted process may have other settings. */
+void PeerChannel::learnHost(const PeerReport &report)
+{
+    auto &directory = m_context.fleet.directory();
+    const auto *known = directory.find(report.host);
+    if (known != nullptr && known->address == report.address && known->port == report.port) {
+        return;
+    }
+    const auto &regions = m_context.settings.regionOfDomain;
+    const auto region = regions.find(report.failureDomain);
+    if (region == regions.end()) {
+        return;
+    }
+    if (known != nullptr) {
+        logEvent("peer_moved",
+                 { { "peer", report.host },
+                   { "address", report.address + ':' + std::to_string(report.port) },
+                   { "before", known->address + ':' + std::to_string(known->port) } });
+    }
+    directory.learn({ report.host, report.address, report.port, region->second, report.capacity });
+}
+
 /** Sends @p reply, and its evidence about parts of prompts in a message of its own if one datagram has no room for
  * both. */
 void PeerChannel::sendReportReply(coordination::entry::ReportReply reply,
--- a/src/transport/entry/peerchannel.h
+++ b/src/transport/entry/peerchannel.h
@@ -45,6 +45,7 @@
     void handleReport(std::string_view datagram);
     void handleMessage(std::string_view datagram);
     void applyReport(coordination::entry::PeerReport report);
+    void learnHost(const coordination::entry::PeerReport &report);
     void applyConfirmation(const coordination::entry::ReportReply &reportReply);
     void rejectMessage(const state::Failure &failure);
     void sendReportReply(coordination::entry::ReportReply reply, const std::string &address, std::uint16_t port);
--- a/tests/transport/entry/testforeigndecisions.cpp
+++ b/tests/transport/entry/testforeigndecisions.cpp
@@ -52,8 +52,9 @@
 {
 public:
     /** @p target runs what is placed; @p peer is the port of the host that asks. */
-    OnlyDecider(state::entry::TargetEntry target, std::uint16_t peer)
+    OnlyDecider(state::entry::TargetEntry target, std::uint16_t peer, std::uint64_t incarnation = 9)
         : m_target(std::move(target))
+        , m_incarnation(incarnation)
         , m_peer(boost::asio::ip::address_v4::loopback(), peer)
         , m_socket(m_context, udp::endpoint(boost::asio::ip::address_v4::loopback(), freePort()))
     {
@@ -103,7 +104,7 @@
         report.address = Loopback;
         report.failureDomain = "osu";
         report.port = m_socket.local_endpoint().port();
-        report.incarnation = 9;
+        report.incarnation = m_incarnation;
         report.sequence = ++m_sequence;
         report.capacity = 1e6;
         send(protocol::encodePeerReport(report, m_deployment));
@@ -115,7 +116,7 @@
             BOOST_LEAF_AUTO(report, protocol::decodePeerReport(datagram, m_deployment));
             ReportReply reply;
             reply.host = "host-9";
-            reply.incarnation = 9;
+            reply.incarnation = m_incarnation;
             reply.reporterIncarnation = report.incarnation;
             reply.reportSentAt = report.reportSentAt;
             reply.canDecide = true;
@@ -128,7 +129,7 @@
         if (const auto *request = std::get_if<DecisionRequest>(&message)) {
             DecisionReply reply;
             reply.decider = "host-9";
-            reply.deciderIncarnation = 9;
+            reply.deciderIncarnation = m_incarnation;
             reply.requesterIncarnation = request->requester.incarnation;
             reply.requestSent = request->sent;
             reply.state = DecisionReply::State::Decided;
@@ -150,6 +151,7 @@
     /** Hosts of tests have a store with this address. */
     std::uint32_t m_deployment = shortHash(protocol::toString(protocol::Endpoint{ Loopback, 1 }));
     state::entry::TargetEntry m_target;
+    std::uint64_t m_incarnation;
     udp::endpoint m_peer;
     boost::asio::io_context m_context;
     udp::socket m_socket;
@@ -216,3 +218,22 @@
         CHECK(foreign.requests() == 0);
     }
 }
+
+// Guards against a host that nobody can ask: its process came back at another address, and others kept the old one.
+TEST_CASE("a host asks a decider that was restarted at another address", "[entry][host][restart]")
+{
+    const NamedTarget own("own");
+    const NamedTarget first("first");
+    const NamedTarget second("second");
+    RestorableStore store;
+    fill(store, own);
+    const std::uint16_t port = freePort();
+    StoreHost host(store, "host-1", false, port);
+    REQUIRE(host.comesTo("/r/", " 200 "));
+    {
+        const OnlyDecider decider(targetOf("s", first.port()), port, 9);
+        REQUIRE(host.comesTo("/r/", "first"));
+    }
+    const OnlyDecider decider(targetOf("s", second.port()), port, 10);
+    CHECK(host.comesTo("/r/", "second"));
+}
