Wait for a port that is in use when a process starts

Callers lost a host for good, or until something started it again: one of its ports was used for a moment when its process came back after a kill.

Cause: a listener or the socket for other hosts that could not be bound ended the process.

Nothing shows that a port was taken where the users saw the case fail.

The port for callers is bound last, so that none connects to a process that waits. Metrics are not waited for.

Processes of tests no longer inherit the sockets of the test, one of which would have held the port.

--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -90,7 +90,6 @@
 
 state::Result<void> EntryHost::bind(const StoreFactory &storeFactory)
 {
-    BOOST_LEAF_ASSIGN(m_callerListener, Listener::create(m_io, m_settings.callers.address, m_settings.callers.port));
     BOOST_LEAF_AUTO(readiness, Listener::create(m_io, m_settings.readiness.address, m_settings.readiness.port));
     m_readiness = std::make_unique<HttpServer>(std::move(readiness),
                                                auxiliaryServerLimits(),
@@ -101,7 +100,12 @@
     BOOST_LEAF_ASSIGN(m_peers, PeerChannel::create(m_context));
     m_store = storeFactory(m_io.get_executor(), m_settings.store);
     m_follower = std::make_unique<StoreFollower>(m_context, *m_store);
-    return m_follower->bind();
+    if (auto bound = m_follower->bind(); !bound) {
+        return bound.error();
+    }
+    // The last one: callers that connect while this process waits for another port would get no answer.
+    BOOST_LEAF_ASSIGN(m_callerListener, Listener::create(m_io, m_settings.callers.address, m_settings.callers.port));
+    return {};
 }
 
 /** Binds the metrics listener. A host without metrics can still serve, so a failure is only logged. */
@@ -112,7 +116,8 @@
     }
     state::handleFailure(
         [this]() -> state::Result<void> {
-            BOOST_LEAF_AUTO(listener, Listener::create(m_io, m_settings.address, m_settings.metricsPort));
+            constexpr state::Duration noWait{}; // Callers matter more.
+            BOOST_LEAF_AUTO(listener, Listener::create(m_io, m_settings.address, m_settings.metricsPort, noWait));
             m_metrics =
                 std::make_unique<HttpServer>(std::move(listener),
                                              auxiliaryServerLimits(),
--- a/src/transport/host.cpp
+++ b/src/transport/host.cpp
@@ -87,9 +87,10 @@
 {
     const auto options = optionsOf(settings, m_clock.now());
     BOOST_LEAF_AUTO(coordinator, factory(options, m_checker));
-    BOOST_LEAF_AUTO(callers, listen(m_dataThread, settings.listen.callers));
     BOOST_LEAF_AUTO(operators, listen(m_operatorsThread, settings.listen.operators));
     BOOST_LEAF_AUTO(peers, listen(m_peersThread, settings.listen.peers));
+    // The last one: callers that connect while this process waits for another port would get no answer.
+    BOOST_LEAF_AUTO(callers, listen(m_dataThread, settings.listen.callers));
     const DecisionRings rings{ m_dataActions, m_peersActions, m_platformActions, m_operatorsUpdates };
     m_decisions =
         std::make_unique<DecisionsService>(m_decisionsThread.context(), m_clock, std::move(coordinator), rings, [this] {
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace sapphirecove::transport {
@@ -22,7 +23,7 @@
 } // namespace
 
 state::Result<std::unique_ptr<Listener>>
-Listener::create(asio::io_context &context, const std::string &address, std::uint16_t port)
+Listener::create(asio::io_context &context, const std::string &address, std::uint16_t port, state::Duration portWait)
 {
     const auto peer = address + ':' + std::to_string(port);
     boost::system::error_code error;
@@ -30,22 +31,28 @@
     if (error) {
         return state::fail("listen", peer, "not an IP address");
     }
-    tcp::acceptor acceptor(context);
     const tcp::endpoint endpoint(ip, port);
-    acceptor.open(endpoint.protocol(), error);
-    if (!error) {
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        acceptor.bind(endpoint, error);
-    }
-    if (!error) {
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    }
+    std::optional<tcp::acceptor> acceptor;
+    // Both bind and listen fail if another socket uses the port. After a failed listen, the socket has to be a new one.
+    error = bindWhenFree(peer, portWait, [&] {
+        boost::system::error_code failure;
+        acceptor.emplace(context);
+        acceptor->open(endpoint.protocol(), failure);
+        if (!failure) {
+            acceptor->set_option(tcp::acceptor::reuse_address(true), failure);
+        }
+        if (!failure) {
+            acceptor->bind(endpoint, failure);
+        }
+        if (!failure) {
+            acceptor->listen(asio::socket_base::max_listen_connections, failure);
+        }
+        return failure;
+    });
     if (error) {
         return state::fail("listen", peer, error.message());
     }
-    return std::unique_ptr<Listener>(new Listener(std::move(acceptor)));
+    return std::unique_ptr<Listener>(new Listener(std::move(*acceptor)));
 }
 
 Listener::Listener(tcp::acceptor acceptor)
--- a/tests/integration/entryprocess.h
+++ b/tests/integration/entryprocess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tests/integration/entrysettings.h"
 #include "tests/integration/httpclient.h"
 #include "tests/integration/process.h"
 #include "tests/integration/storestub.h"
@@ -23,7 +24,7 @@
         : m_store(records(targetPort))
         , m_ports(freePorts(4))
     {
-        m_folder.write("node.json", settings(memory));
+        m_folder.write("node.json", encode(EntryHostSettings{ "host-1", m_ports, m_store.port(), memory }));
         m_host = std::make_unique<Process>(
             m_folder,
             "entry",
@@ -80,18 +81,6 @@
         };
     }
 
-    std::string settings(std::size_t memory) const
-    {
-        const auto address = [](std::uint16_t port) {
-            return "\"127.0.0.1:" + std::to_string(port) + '"';
-        };
-        return R"({"node":"host-1","ip":"127.0.0.1","zone":"osu","region":"accra","zones":{"osu":"accra"},"listen":{"front":)"
-            + address(m_ports[0]) + R"(,"ready":)" + address(m_ports[1]) + R"(},"portRange":[)"
-            + std::to_string(m_ports[2]) + ',' + std::to_string(m_ports[2])
-            + R"(],"bootstrap":true,"limits":{"memoryMb":)" + std::to_string(memory / 1024 / 1024)
-            + R"(},"platform":{"address":)" + address(m_store.port()) + "}}";
-    }
-
     TempFolder m_folder;
     StoreStub m_store;
     std::vector<std::uint16_t> m_ports;
--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -61,6 +61,8 @@
     posix_spawn_file_actions_addopen(&actions, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outPath.c_str(), OutputFlags | O_TRUNC, 0600);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, errPath.c_str(), OutputFlags, 0600);
+    // The sockets of the test, such as a listener whose port the process needs, must not live on in it.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int result = posix_spawn(&m_pid, pointers[0], &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (result != 0) {
--- a/tests/integration/storestub.cpp
+++ b/tests/integration/storestub.cpp
@@ -2,7 +2,8 @@
 
 #include <boost/beast/core/detail/base64.hpp>
 
-#include <chrono>
+#include <algorithm>
+#include <cstdlib>
 #include <memory>
 #include <utility>
 
@@ -11,7 +12,11 @@
 namespace {
 
 /** Longest wait of a read for records, so that the test can end the connections. */
-constexpr auto ReadWait = std::chrono::milliseconds(200);
+constexpr auto MaxReadWait = std::chrono::milliseconds(200);
+
+/** Bytes of the length before a record, and of the length of its key. */
+constexpr std::size_t LengthBytes = 4;
+constexpr std::size_t KeyLengthBytes = 1;
 
 std::string base64(const std::string &text)
 {
@@ -21,23 +26,46 @@
     return result;
 }
 
-std::string topicOf(const std::string &request)
+std::string bigEndian(std::uint64_t number, std::size_t bytes)
+{
+    std::string text(bytes, '\0');
+    for (std::size_t i = bytes; i-- > 0; number >>= 8U) {
+        text[i] = static_cast<char>(number & 255U);
+    }
+    return text;
+}
+
+/** Returns the value of the field @p name in the query of @p request; empty if there is none. */
+std::string queryField(const std::string &request, const std::string &name)
+{
+    std::size_t at = request.find('?' + name + '=');
+    at = at == std::string::npos ? request.find('&' + name + '=') : at;
+    if (at == std::string::npos) {
+        return {};
+    }
+    const std::size_t begin = at + name.size() + 2;
+    return request.substr(begin, request.find_first_of("& ", begin) - begin);
+}
+
+std::size_t numberField(const std::string &request, const std::string &name)
 {
-    constexpr std::string_view name = "topic=";
-    const std::size_t at = request.find(name) + name.size();
-    return request.substr(at, request.find_first_of("& ", at) - at);
+    return std::strtoul(queryField(request, name).c_str(), nullptr, 10);
 }
 
 } // namespace
 
-StoreStub::StoreStub(std::map<std::string, std::map<std::string, std::string>> records)
-    : m_records(std::move(records))
-    , m_acceptor(m_context, tests::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+StoreStub::StoreStub(const std::map<std::string, std::map<std::string, std::string>> &records)
+    : m_acceptor(m_context, tests::tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
     , m_port(m_acceptor.local_endpoint().port())
-    , m_thread([this] {
-        run();
-    })
 {
+    for (const auto &[topic, documents] : records) {
+        for (const auto &[key, document] : documents) {
+            put(topic, key, document);
+        }
+    }
+    m_thread = std::thread([this] {
+        run();
+    });
 }
 
 StoreStub::~StoreStub()
@@ -50,6 +78,13 @@
     }
 }
 
+void StoreStub::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_topics[topic].push_back({ key, value });
+    m_changed.notify_all();
+}
+
 void StoreStub::run()
 {
     for (;;) {
@@ -63,37 +98,76 @@
     }
 }
 
-void StoreStub::serve(tests::BlockingConnection &connection) const
+void StoreStub::serve(tests::BlockingConnection &connection)
 {
     while (!m_stopping) {
-        const std::string request = connection.readRequestHead();
+        const std::string request = connection.readRequest();
         if (request.empty()) {
             return;
         }
-        std::string body;
-        if (request.starts_with("GET /log-newest")) {
-            body = newestOf(topicOf(request));
-        } else if (request.starts_with("GET /log-read")) {
-            std::this_thread::sleep_for(ReadWait);
-            body = std::string(7, '\0') + '\1' + std::string(8, '\0'); // The end, and the first offset that is kept.
-        } else {
-            body = R"({"offset":0,"end":1})";
-        }
+        const std::string body = respond(request);
         connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
 }
 
-std::string StoreStub::newestOf(const std::string &topic) const
+std::string StoreStub::respond(const std::string &request)
+{
+    const std::string topic = queryField(request, "topic");
+    if (request.starts_with("GET /log-newest")) {
+        return newestOf(topic);
+    }
+    if (request.starts_with("GET /log-read")) {
+        return readSince(
+            topic, numberField(request, "from"), std::chrono::milliseconds(numberField(request, "waitMs")));
+    }
+    return append(topic, std::string_view(request).substr(request.find("\r\n\r\n") + 4));
+}
+
+std::string StoreStub::newestOf(const std::string &topic)
 {
+    const std::lock_guard lock(m_mutex);
+    const auto &records = m_topics[topic];
+    std::map<std::string, std::size_t> newest;
+    for (std::size_t offset = 0; offset < records.size(); ++offset) {
+        newest[records[offset].key] = offset;
+    }
     std::string items;
-    const auto found = m_records.find(topic);
-    if (found != m_records.end()) {
-        for (const auto &[key, document] : found->second) {
-            items += (items.empty() ? "" : ",") + std::string(R"({"key":")") + key + R"(","value":")" + base64(document)
-                + R"(","offset":0})";
+    for (const auto &[key, offset] : newest) {
+        if (!records[offset].value.empty()) {
+            items += (items.empty() ? "" : ",") + std::string(R"({"key":")") + key + R"(","value":")"
+                + base64(records[offset].value) + R"(","offset":)" + std::to_string(offset) + '}';
         }
     }
-    return R"({"items":[)" + items + R"(],"hasMore":false,"end":1})";
+    return R"({"items":[)" + items + R"(],"hasMore":false,"end":)" + std::to_string(records.size()) + '}';
+}
+
+std::string StoreStub::readSince(const std::string &topic, std::size_t from, std::chrono::milliseconds wait)
+{
+    std::unique_lock lock(m_mutex);
+    const auto &records = m_topics[topic];
+    m_changed.wait_for(lock, std::min(wait, MaxReadWait), [&] {
+        return records.size() > from;
+    });
+    std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
+    for (std::size_t offset = from; offset < records.size(); ++offset) {
+        const auto &[key, value] = records[offset];
+        body += bigEndian(KeyLengthBytes + key.size() + value.size(), LengthBytes)
+            + bigEndian(key.size(), KeyLengthBytes) + key + value;
+    }
+    return body;
+}
+
+/** Appends the only record in @p body, in the form of the store's protocol. */
+std::string StoreStub::append(const std::string &topic, std::string_view body)
+{
+    if (body.size() > LengthBytes) {
+        const auto keyBytes = static_cast<unsigned char>(body[LengthBytes]);
+        const std::string_view record = body.substr(LengthBytes + KeyLengthBytes);
+        put(topic, std::string(record.substr(0, keyBytes)), std::string(record.substr(keyBytes)));
+    }
+    const std::lock_guard lock(m_mutex);
+    const std::size_t end = m_topics[topic].size();
+    return R"({"offset":)" + std::to_string(end - 1) + R"(,"end":)" + std::to_string(end) + '}';
 }
 
 } // namespace sapphirecove::integration
--- a/tests/integration/storestub.h
+++ b/tests/integration/storestub.h
@@ -3,19 +3,24 @@
 #include "tests/transport/loopback.h"
 
 #include <atomic>
+#include <chrono>
+#include <condition_variable>
 #include <list>
 #include <map>
+#include <mutex>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <vector>
 
 namespace sapphirecove::integration {
 
-/** Metadata store of the platform for one host: it holds the newest records of the test and takes no new ones. */
+/** Metadata store of the platform: topics of keyed records with one partition, which it keeps from the first one on. */
 class StoreStub
 {
 public:
     /** @p records are the documents of each topic, by key. */
-    explicit StoreStub(std::map<std::string, std::map<std::string, std::string>> records);
+    explicit StoreStub(const std::map<std::string, std::map<std::string, std::string>> &records);
     ~StoreStub();
     StoreStub(const StoreStub &) = delete;
     StoreStub &operator=(const StoreStub &) = delete;
@@ -25,12 +30,26 @@
         return m_port;
     }
 
+    /** Appends a record, as the operator or a target does; an empty @p value removes the key. */
+    void put(const std::string &topic, const std::string &key, const std::string &value);
+
 private:
-    void run();
-    void serve(tests::BlockingConnection &connection) const;
-    std::string newestOf(const std::string &topic) const;
+    struct Record
+    {
+        std::string key;
+        std::string value; /**< empty if the key is removed */
+    };
 
-    std::map<std::string, std::map<std::string, std::string>> m_records;
+    void run();
+    void serve(tests::BlockingConnection &connection);
+    std::string respond(const std::string &request);
+    std::string newestOf(const std::string &topic);
+    std::string readSince(const std::string &topic, std::size_t from, std::chrono::milliseconds wait);
+    std::string append(const std::string &topic, std::string_view body);
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, std::vector<Record>> m_topics;
     boost::asio::io_context m_context;
     tests::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
