--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,13 +1,22 @@
 #include "cli/commands.h"
+#include "state/buildid.h"
 
 #include <exception>
 #include <iostream>
+#include <string>
 #include <utility>
 
 namespace {
 
 using sapphirecove::cli::ExitCode;
 
+/** Returns the version, and what this program was built from. */
+std::string versionText()
+{
+    return SAPPHIRECOVE_VERSION " (commit " + std::string(sapphirecove::state::buildCommit()) + ", sources "
+        + std::string(sapphirecove::state::buildSources()) + ')';
+}
+
 /** Prints the help text, the version or the usage error, and returns the matching exit code. */
 ExitCode reportParseError(const CLI::App &app, const CLI::ParseError &error)
 {
@@ -18,7 +27,7 @@
 ExitCode runProgram(int argc, char **argv)
 {
     CLI::App app("Request scheduler for language-model engines and plain services of unequal speed.", "sapphirecove");
-    app.set_version_flag("--version", SAPPHIRECOVE_VERSION);
+    app.set_version_flag("--version", versionText());
     app.require_subcommand(1);
     app.footer("Exit codes: 0 success; 1 failed or not accepted; 2 wrong usage; 3 problems found in settings or "
                "configuration;\n4 outcome unknown; 5 accepted but not yet in force on every live host.");
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -1,6 +1,7 @@
 #include "cli/commands.h"
 
 #include "protocol/settingsreader.h"
+#include "state/buildid.h"
 #include "transport/host.h"
 #include "transport/log.h"
 
@@ -111,7 +112,10 @@
         }
         SignalLoop loop(*host);
         host->start();
-        transport::logEvent("started", { { "host", settings.host.id } });
+        transport::logEvent("started",
+                            { { "host", settings.host.id },
+                              { "commit", std::string(state::buildCommit()) },
+                              { "sources", std::string(state::buildSources()) } });
         loop.run();
         host->stop();
         transport::logEvent("stopped", { { "host", settings.host.id } });
--- a/src/transport/entry/entryhost.cpp
+++ b/src/transport/entry/entryhost.cpp
@@ -1,6 +1,7 @@
 #include "transport/entry/entryhost.h"
 
 #include "coordination/entry/confirmation.h"
+#include "state/buildid.h"
 #include "transport/entry/callersession.h"
 #include "transport/entry/exchange.h"
 #include "transport/entry/format.h"
@@ -149,7 +150,10 @@
                { "failure_domain", m_settings.failureDomain },
                { "callers", toString(m_settings.callers) },
                { "metrics_port", std::to_string(m_settings.metricsPort) },
-               { "first_start", m_settings.firstStart ? "yes" : "no" } });
+               { "first_start", m_settings.firstStart ? "yes" : "no" },
+               { "commit", std::string(state::buildCommit()) },
+               { "sources", std::string(state::buildSources()) },
+               { "process", std::to_string(m_fleet.self().incarnation) } });
     m_io.run();
     logEvent("stopped", { { "host", m_settings.hostId } });
 }
@@ -455,6 +459,7 @@
 HttpResponse EntryHost::metricsResponse(const HttpRequest &request) const
 {
     std::string text = m_context.metrics.text();
+    text += encodeBuildInfo();
     text += "sapphirecove_requests_waiting " + std::to_string(m_scheduler->waiting()) + '\n';
     text += "sapphirecove_requests_running " + std::to_string(m_scheduler->running()) + '\n';
     text += "sapphirecove_peers_live " + std::to_string(m_scheduler->peers().liveCount()) + '\n';
--- a/src/transport/operators/metricstext.cpp
+++ b/src/transport/operators/metricstext.cpp
@@ -1,5 +1,7 @@
 #include "transport/operators/metricstext.h"
 
+#include "state/buildid.h"
+
 #include <sys/resource.h>
 
 #include <algorithm>
@@ -57,11 +59,18 @@
 
 } // namespace
 
+std::string encodeBuildInfo()
+{
+    return "sapphirecove_build_info{commit=\"" + std::string(state::buildCommit()) + "\",sources=\""
+        + std::string(state::buildSources()) + "\"} 1\n";
+}
+
 std::string encodeMetrics(const HostSnapshot &snapshot)
 {
     const auto &report = snapshot.report;
     std::ostringstream out;
     out.precision(17);
+    out << encodeBuildInfo();
     for (const auto &[name, value] : report.counters) {
         writeValue(out, metricName(name) + "_total", "counter", static_cast<double>(value));
     }
