--- a/review/standins-3/idlecrowd.cpp
+++ b/review/standins-3/idlecrowd.cpp
@@ -1,4 +1,4 @@
-// Case 14: callers that keep their connections open for their next request, more of them than a host has descriptors.
+// Case 15: callers that keep their connections open for their next request, more of them than a host has descriptors.
 #include "deployment.h"
 
 #include <sys/resource.h>
