--- a/review/standins-3/answercrowd.cpp
+++ b/review/standins-3/answercrowd.cpp
@@ -1,4 +1,4 @@
-// Case 13: some workers of a service answer with a long head of short fields and a body that does not end.
+// Case 14: some workers of a service answer with a long head of short fields and a body that does not end.
 #include "deployment.h"
 
 #include <algorithm>
