--- a/review/standins-3/callercrowd.cpp
+++ b/review/standins-3/callercrowd.cpp
@@ -1,4 +1,4 @@
-// Case 12: a crowd of callers whose requests have many short fields and trailers that do not end.
+// Case 13: a crowd of callers whose requests have many short fields and trailers that do not end.
 #include "deployment.h"
 
 #include <algorithm>
