--- a/review/standins-3/slowreaders.cpp
+++ b/review/standins-3/slowreaders.cpp
@@ -1,4 +1,4 @@
-// Case 11: callers that read the answers to their requests slowly for some seconds, and then the rest at once.
+// Case 12: callers that read the answers to their requests slowly for some seconds, and then the rest at once.
 #include "deployment.h"
 
 #include <algorithm>
