--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -362,15 +362,17 @@
         return '"' + ip + ':' + std::to_string(port) + '"';
     };
     const std::string settings = m_folder / "node.json";
-    std::ofstream(settings) << R"({"node":"front-a-1","role":"entry","machineClass":"front","serves":["front"],"ip":")"
-                            << ip << R"(","zone":"a","region":"r","zones":{"a":"r"},"listen":{"front":)"
-                            << at(m_callers) << R"(,"ready":)" << at(m_readiness) << R"(},"portRange":[)" << range
-                            << ',' << range << R"(],"seedAddrs":[],"bootstrap":true,"inTolerance":false,)"
+    std::ofstream(settings) << R"({"node":")" << options.name
+                            << R"(","role":"entry","machineClass":"front","serves":["front"],"ip":")" << ip
+                            << R"(","zone":"a","region":"r","zones":{"a":"r"},"listen":{"front":)" << at(m_callers)
+                            << R"(,"ready":)" << at(m_readiness) << R"(},"portRange":[)" << range << ',' << range
+                            << R"(],"seedAddrs":[],"bootstrap":true,"inTolerance":false,)"
                             << R"("limits":{"cpuShare":0.25,"cpuCores":1,"memoryMb":)" << options.memoryMb
                             << R"(,"maxFds":)" << options.maxFds
                             << R"(,"linkMbps":1000.0,"diskMb":0},"dataDir":null,"discovery":"platform","entry":"vip",)"
-                            << R"("heartbeatMs":1200,"bounds":{)" << Bounds << R"(},"platform":{"address":)"
-                            << at(options.store) << R"(,"form":"log","writesPerS":400,"readsPerS":2000,"parts":12}})";
+                            << R"("heartbeatMs":1200,"bounds":{)" << Bounds << R"(},"platform":{"address":)" << '"'
+                            << (options.storeIp.empty() ? ip : options.storeIp) << ':' << options.store << '"'
+                            << R"(,"form":"log","writesPerS":400,"readsPerS":2000,"parts":12}})";
     const std::string output = m_folder / "output.log";
     const std::string variable = "SAPPHIRECOVE_CONFIG=" + settings;
     m_process = ::fork();
@@ -465,11 +467,11 @@
         + R"("tenants":[{"name":"tenant-1","apiKeys":["key-1"]}]})";
 }
 
-std::string workerEntry(const std::string &service, const std::string &ip, std::uint16_t port, int slots)
+std::string workerEntry(const std::string &service, const std::string &ip, std::uint16_t port, int slots, int sequence)
 {
     return R"({"service":")" + service + R"(","address":")" + ip + ':' + std::to_string(port)
         + R"(","zone":"a","version":"v1","concurrency":)" + std::to_string(slots)
-        + R"(,"state":"ready","coldLeftMs":0,"sequence":1,"born":1765000000000})";
+        + R"(,"state":"ready","coldLeftMs":0,"sequence":)" + std::to_string(sequence) + R"(,"born":1765000000000})";
 }
 
 bool withoutTrouble()
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -136,6 +136,8 @@
     int memoryMb = 260;
     int maxFds = 4100;
     std::uint16_t store = 0;
+    std::string storeIp; /**< empty for the address of the host */
+    std::string name = "front-a-1";
 };
 
 /** Process of `sapphirecove entry`, started with the command of the deploy file on an address of its own. */
@@ -191,7 +193,8 @@
 std::string configuration(const std::string &routes, const std::string &services);
 
 /** Returns the entry of a ready worker. */
-std::string workerEntry(const std::string &service, const std::string &ip, std::uint16_t port, int slots);
+std::string
+workerEntry(const std::string &service, const std::string &ip, std::uint16_t port, int slots, int sequence = 1);
 
 /** Returns whether the environment asks for the run without the disruption. */
 bool withoutTrouble();
