--- a/review/standins-3/deployment.cpp
+++ b/review/standins-3/deployment.cpp
@@ -366,7 +366,8 @@
                             << R"(","role":"entry","machineClass":"front","serves":["front"],"ip":")" << ip
                             << R"(","zone":"a","region":"r","zones":{"a":"r"},"listen":{"front":)" << at(m_callers)
                             << R"(,"ready":)" << at(m_readiness) << R"(},"portRange":[)" << range << ',' << range
-                            << R"(],"seedAddrs":[],"bootstrap":true,"inTolerance":false,)"
+                            << R"(],"seedAddrs":[],"bootstrap":)" << (options.firstStart ? "true" : "false")
+                            << R"(,"inTolerance":false,)"
                             << R"("limits":{"cpuShare":0.25,"cpuCores":1,"memoryMb":)" << options.memoryMb
                             << R"(,"maxFds":)" << options.maxFds
                             << R"(,"linkMbps":1000.0,"diskMb":0},"dataDir":null,"discovery":"platform","entry":"vip",)"
@@ -438,6 +439,23 @@
     return 0;
 }
 
+double Host::processorSeconds() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_process) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    // The user and the system time are the 12th and 13th field after the name of the program, in parentheses.
+    std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+    std::string skipped;
+    for (int field = 0; field < 12; ++field) {
+        fields >> skipped;
+    }
+    double user = std::strtod(skipped.c_str(), nullptr);
+    double system = 0;
+    fields >> system;
+    return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 std::size_t Host::openDescriptors() const
 {
     std::error_code error;
--- a/review/standins-3/deployment.h
+++ b/review/standins-3/deployment.h
@@ -138,6 +138,7 @@
     std::uint16_t store = 0;
     std::string storeIp; /**< empty for the address of the host */
     std::string name = "front-a-1";
+    bool firstStart = true; /**< of the whole system */
 };
 
 /** Process of `sapphirecove entry`, started with the command of the deploy file on an address of its own. */
@@ -158,6 +159,9 @@
     /** Resident memory in MB; 0 if the process has ended. */
     double residentMb() const;
 
+    /** Processor time that the process has used, in seconds; 0 if it has ended. */
+    double processorSeconds() const;
+
     std::size_t openDescriptors() const;
 
     /** Ends the process as the platform ends one that exceeds its memory. */
--- a/review/standins-3/versions.cpp
+++ b/review/standins-3/versions.cpp
@@ -20,8 +20,8 @@
 constexpr const char *WeightVersion = "2";
 constexpr const char *OlderVersion = "1";
 
-/** Requests that expect a version, one after the other. */
-constexpr int VersionRequests = 10;
+/** Requests that expect a version, one after the other at one host: four for each two workers. */
+constexpr int VersionRequests = 20;
 
 /** Interval of the workers' entries, heartbeatMs of the settings. */
 constexpr std::chrono::milliseconds Heartbeat{ 1200 };
