Case 14: three ends at each of two hosts, as the rule says

Rule: Fault (memory over the limit). Disruption: 67 of 112 workers answer with a long head of short fields and a body without end. Command: review/build-3.sh, then review/14/run.sh, on a build of the deploy file.

--- a/review/standins-3/answercrowd.cpp
+++ b/review/standins-3/answercrowd.cpp
@@ -2,7 +2,10 @@
 #include "deployment.h"
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <cstdlib>
+#include <functional>
 #include <memory>
 #include <thread>
 
@@ -16,14 +19,22 @@
 /** Workers of badgeworks-ops-grown, their slots, and the share of them in trouble. */
 constexpr int Workers = 112;
 constexpr int Slots = 6;
-constexpr int WorkersInTrouble = 34;
+constexpr int WorkersInTrouble = 67;
 
 /** Bytes of the fields in a head without meaning. */
 constexpr std::size_t HeadBytes = 60000;
 
-/** Streams that callers start, one each 20 ms, and the time in which a sound worker sends all of one. */
-constexpr int Streams = 900;
+/** Interval of the streams that callers start, at two hosts in turn, and the longest time of the case. */
 constexpr std::chrono::milliseconds StreamInterval{ 20 };
+constexpr double MaxSeconds = 90;
+
+/** Ends of a process that break the rule, at each of two hosts. */
+constexpr int Ends = 3;
+
+/** Delay before the platform starts a process again that was killed. */
+constexpr std::chrono::milliseconds RestartDelay{ 500 };
+
+/** A sound worker sends all events of a stream in two seconds. */
 constexpr std::chrono::milliseconds EventInterval{ 100 };
 constexpr int Events = 20;
 
@@ -69,12 +80,37 @@
     }
 }
 
+/** Streams of the callers of one host. */
+struct Streams
+{
+    std::atomic<int> asked = 0;
+    std::atomic<int> complete = 0;
+    std::atomic<int> failed = 0;
+};
+
+/** Asks for a stream at @p port and reads it to its end. */
+void readStream(const std::string &ip, std::uint16_t port, int number, Streams &streams)
+{
+    Connection connection = Connection::to(ip, port, std::chrono::seconds(1));
+    connection.setReadTimeout(std::chrono::seconds(15));
+    const std::string fields = "X-Token-Count: 600,100\r\nX-Deadline-Ms: 12000\r\nContent-Length: 2\r\n";
+    const bool sent =
+        connection.isOpen() && connection.write(request("POST", "/r/x", "s" + std::to_string(number), fields) + "{}");
+    const std::string header = sent ? connection.readMessage() : std::string();
+    constexpr std::string_view lastChunk = "0\r\n\r\n";
+    std::string body;
+    if (header.starts_with("HTTP/1.1 200")) {
+        while (connection.readRest(body) && !body.ends_with(lastChunk)) { }
+    }
+    ++(body.ends_with(lastChunk) ? streams.complete : streams.failed);
+}
+
 int runCase(Record &record)
 {
-    const std::string ip = loopbackAddress();
-    Store &store = *new Store(ip); // Used by threads until the end of this process.
-    const Listener sound(ip, serveSound);
-    const Listener inTrouble(ip, serveInTrouble);
+    const std::array<std::string, 2> ips{ loopbackAddress(), loopbackAddress() };
+    Store &store = *new Store(ips[0]); // Used by threads until the end of this process.
+    const Listener sound(ips[0], serveSound);
+    const Listener inTrouble(ips[0], serveInTrouble);
     store.put("keyed.op",
               "config",
               configuration(R"([{"name":"r","host":"a.example","pathPrefix":"/r/","kind":"streaming",)"
@@ -85,52 +121,60 @@
         const bool isSound = withoutTrouble() || number >= WorkersInTrouble;
         store.put("keyed.servers",
                   "i-" + std::to_string(number),
-                  workerEntry("s", ip, (isSound ? sound : inTrouble).port(), Slots));
+                  workerEntry("s", ips[0], (isSound ? sound : inTrouble).port(), Slots));
     }
-    Host host(ip, { MemoryMb, 4100, store.port() });
-    if (!host.waitReady()) {
-        record.line("the host did not get ready");
-        return 2;
+    std::array<HostOptions, 2> options;
+    std::array<std::unique_ptr<Host>, 2> hosts;
+    std::array<Streams, 2> &streams = *new std::array<Streams, 2>; // Used by threads as well.
+    std::array<int, 2> ends{};
+    std::array<double, 2> peaks{};
+    std::array<double, 2> startedAt{};
+    const auto start = [&](std::size_t i) {
+        hosts[i] = std::make_unique<Host>(ips[i], options[i]);
+        startedAt[i] = record.seconds();
+        return hosts[i]->waitReady();
+    };
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        options[i] = { MemoryMb, 4100, store.port(), ips[0], "front-a-" + std::to_string(i + 1), true };
+        if (!start(i)) {
+            record.line("a host did not get ready");
+            return 2;
+        }
     }
-    record.line("ready; resident " + std::to_string(host.residentMb()) + " MB of " + std::to_string(MemoryMb));
-    std::atomic<int> complete = 0;
-    std::atomic<int> failed = 0;
-    std::atomic<int> ended = 0;
-    double peak = 0;
-    for (int number = 0; number < Streams && host.isRunning(); ++number) {
-        std::thread([&, number] {
-            Connection connection = Connection::to(ip, host.callers(), std::chrono::seconds(1));
-            connection.setReadTimeout(std::chrono::seconds(15));
-            const std::string fields = "X-Token-Count: 600,100\r\nX-Deadline-Ms: 12000\r\nContent-Length: 2\r\n";
-            const bool sent = connection.isOpen()
-                && connection.write(request("POST", "/r/x", "s" + std::to_string(number), fields) + "{}");
-            const std::string header = sent ? connection.readMessage() : std::string();
-            if (header.starts_with("HTTP/1.1 200")) {
-                // The rest of a stream is read until its last chunk.
-                std::string body;
-                while (connection.readRest(body) && !body.ends_with("0\r\n\r\n")) { }
-                ++(body.ends_with("0\r\n\r\n") ? complete : failed);
-            } else {
-                ++failed;
-            }
-            ++ended;
-        }).detach();
+    const double length = withoutTrouble() ? MaxSeconds / 3 : MaxSeconds;
+    for (int number = 0; record.seconds() < length && std::min(ends[0], ends[1]) < Ends; ++number) {
+        const std::size_t i = static_cast<std::size_t>(number % 2);
+        ++streams[i].asked;
+        std::thread(readStream, ips[i], hosts[i]->callers(), number, std::ref(streams[i])).detach();
         std::this_thread::sleep_for(StreamInterval);
-        const double resident = host.residentMb();
-        peak = std::max(peak, resident);
-        if (number % 50 == 0) {
-            record.line(std::to_string(number + 1) + " streams asked for, " + std::to_string(complete) + " complete, "
-                        + std::to_string(failed) + " failed; resident " + std::to_string(resident) + " MB");
+        const double resident = hosts[i]->residentMb();
+        peaks[i] = std::max(peaks[i], resident);
+        if (number % 100 < 2) {
+            record.line(options[i].name + ": " + std::to_string(streams[i].asked) + " streams asked for, "
+                        + std::to_string(streams[i].complete) + " complete, " + std::to_string(streams[i].failed)
+                        + " failed; resident " + std::to_string(resident) + " MB");
         }
         if (resident > MemoryMb) {
-            record.line("resident " + std::to_string(resident) + " MB: the platform kills the process");
-            host.kill();
+            record.line(options[i].name + ": resident " + std::to_string(resident) + " MB after "
+                        + std::to_string(record.seconds() - startedAt[i]) + " s, "
+                        + std::to_string(hosts[i]->processorSeconds())
+                        + " s of processor time: the platform kills the process and starts it again");
+            hosts[i]->kill();
+            ++ends[i];
+            std::this_thread::sleep_for(RestartDelay);
+            options[i].firstStart = false;
+            if (!start(i)) {
+                record.line(options[i].name + " did not get ready again");
+                return 2;
+            }
         }
     }
-    const bool isRunning = host.isRunning();
-    record.line("peak " + std::to_string(peak) + " MB; process " + (isRunning ? "runs" : "is gone") + "; "
-                + std::to_string(complete) + " streams complete, " + std::to_string(failed) + " failed so far");
-    return isRunning ? 0 : 1;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+        record.line(options[i].name + ": " + std::to_string(ends[i]) + " ends by memory over the limit; peak "
+                    + std::to_string(peaks[i]) + " MB; " + std::to_string(streams[i].complete) + " streams complete, "
+                    + std::to_string(streams[i].failed) + " failed of " + std::to_string(streams[i].asked));
+    }
+    return std::min(ends[0], ends[1]) >= Ends ? 1 : 0;
 }
 
 } // namespace
